--- /dev/null
+++ b/crates/burdock-decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every decision as a plain function over borrowed views.
--- /dev/null
+++ b/crates/burdock-model/src/blocks.rs
@@ -0,0 +1,137 @@
+//! Client blocks: address prefixes mapped to regions by longest match.
+
+use std::net::IpAddr;
+
+use ip_network::IpNetwork;
+use ip_network_table::IpNetworkTable;
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::RegionName;
+
+/// The most blocks accepted: what fits the memory budget of a node.
+pub const MAX_BLOCKS: usize = 3_000_000;
+
+/// A longest-prefix table from client blocks to regions.
+pub struct BlockTable {
+    table: IpNetworkTable<u16>,
+    regions: Vec<RegionName>,
+    len: usize,
+}
+
+impl std::fmt::Debug for BlockTable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("BlockTable")
+            .field("len", &self.len)
+            .field("regions", &self.regions)
+            .finish()
+    }
+}
+
+impl Default for BlockTable {
+    fn default() -> Self {
+        Self {
+            table: IpNetworkTable::new(),
+            regions: Vec::new(),
+            len: 0,
+        }
+    }
+}
+
+impl BlockTable {
+    /// Reads chunks of lines `prefix region`. Lines that start with `#` are comments.
+    ///
+    /// ```
+    /// use burdock_model::blocks::BlockTable;
+    /// let table = BlockTable::parse(["10.0.0.0/8 riga\n10.1.0.0/16 jelgava\n"]).unwrap();
+    /// let region = |ip: &str| table.region(ip.parse().unwrap()).map(|r| r.as_str());
+    /// assert_eq!(region("10.1.2.3"), Some("jelgava"));
+    /// assert_eq!(region("10.2.2.3"), Some("riga"));
+    /// assert_eq!(region("11.0.0.1"), None);
+    /// ```
+    ///
+    /// # Errors
+    /// [`ErrorKind::InvalidTree`] for an empty chunk, a malformed line, or the same block given to
+    /// two regions; [`ErrorKind::TooLarge`] for more than [`MAX_BLOCKS`] blocks.
+    pub fn parse<'a>(chunks: impl IntoIterator<Item = &'a str>) -> Result<Self> {
+        let mut table = Self::default();
+        for (ix, chunk) in chunks.into_iter().enumerate() {
+            table.add_chunk(chunk).map_err(|e| e.at(format!("chunk {ix}")))?;
+        }
+        Ok(table)
+    }
+
+    /// The region of the longest block that holds an address.
+    #[must_use]
+    pub fn region(&self, ip: IpAddr) -> Option<&RegionName> {
+        let (_, ix) = self.table.longest_match(ip)?;
+        self.regions.get(usize::from(*ix))
+    }
+
+    /// How many blocks it holds.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether it holds no block.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    fn add_chunk(&mut self, chunk: &str) -> Result<()> {
+        let lines = chunk.lines().enumerate().map(|(ix, l)| (ix + 1, l.trim()));
+        let before = self.len;
+        for (number, line) in lines.filter(|(_, l)| !l.is_empty() && !l.starts_with('#')) {
+            self.add_line(line).map_err(|e| e.at(format!("line {number}")))?;
+        }
+        if self.len == before {
+            return Err(
+                Error::new(ErrorKind::InvalidTree, "found no block").hint("remove the chunk from `blocks`")
+            );
+        }
+        Ok(())
+    }
+
+    fn add_line(&mut self, line: &str) -> Result<()> {
+        let malformed = || {
+            Error::new(ErrorKind::InvalidTree, format!("found `{line}`"))
+                .hint("write `prefix region`, such as `10.0.0.0/8 riga`")
+        };
+        let (prefix, region) = line.split_once(char::is_whitespace).ok_or_else(malformed)?;
+        let prefix: IpNetwork = prefix.parse().map_err(|_| malformed())?;
+        let region = self.region_ix(region.trim())?;
+        if self.len == MAX_BLOCKS {
+            return Err(
+                Error::new(ErrorKind::TooLarge, format!("more than {MAX_BLOCKS} blocks"))
+                    .hint("merge neighbouring blocks of one region"),
+            );
+        }
+        match self.table.insert(prefix, region) {
+            Some(other) if other != region => Err(Error::new(
+                ErrorKind::InvalidTree,
+                format!(
+                    "{prefix} is given to `{}` and to `{}`",
+                    self.regions[usize::from(other)],
+                    self.regions[usize::from(region)]
+                ),
+            )
+            .hint("give each block to one region; a longer prefix may differ")),
+            Some(_) => Ok(()),
+            None => {
+                self.len += 1;
+                Ok(())
+            }
+        }
+    }
+
+    fn region_ix(&mut self, name: &str) -> Result<u16> {
+        if let Some(ix) = self.regions.iter().position(|r| r.as_str() == name) {
+            return Ok(u16::try_from(ix).unwrap_or(u16::MAX));
+        }
+        let ix = u16::try_from(self.regions.len())
+            .map_err(|_| Error::new(ErrorKind::TooLarge, "more than 65536 regions"))?;
+        self.regions.push(RegionName::new(name)?);
+        Ok(ix)
+    }
+}
--- /dev/null
+++ b/crates/burdock-model/src/hash.rs
@@ -0,0 +1,48 @@
+//! Hashes that every instance computes alike.
+
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A stable 64-bit hash of some bytes under a seed.
+///
+/// ```
+/// use burdock_model::hash::stable;
+/// assert_eq!(stable(b"a", 1), stable(b"a", 1));
+/// assert_ne!(stable(b"a", 1), stable(b"a", 2));
+/// ```
+#[must_use]
+pub fn stable(bytes: &[u8], seed: u64) -> u64 {
+    xxh3_64_with_seed(bytes, seed)
+}
+
+/// The rendezvous weight of a member for a subject. The highest weight ranks first.
+#[must_use]
+pub fn rendezvous(subject: u64, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), subject)
+}
+
+/// The members ordered by rendezvous rank for a subject, best first.
+///
+/// ```
+/// use burdock_model::hash::ranked;
+/// let all = ranked(7, ["a", "b", "c"].into_iter(), |m| m);
+/// let without = ranked(7, ["a", "b", "c"].into_iter().filter(|m| *m != all[0]), |m| m);
+/// assert_eq!(all[1..], without[..]);
+/// ```
+pub fn ranked<T>(subject: u64, members: impl Iterator<Item = T>, name: impl Fn(&T) -> &str) -> Vec<T> {
+    let mut weighted: Vec<(u64, T)> = members.map(|m| (rendezvous(subject, name(&m)), m)).collect();
+    weighted.sort_by(|(wa, a), (wb, b)| wb.cmp(wa).then_with(|| name(a).cmp(name(b))));
+    weighted.into_iter().map(|(_, m)| m).collect()
+}
+
+/// The SHA-256 of some bytes.
+#[must_use]
+pub fn sha256(bytes: &[u8]) -> [u8; 32] {
+    Sha256::digest(bytes).into()
+}
+
+/// The SHA-256 of some bytes in hexadecimal: the name of a blob.
+#[must_use]
+pub fn sha256_hex(bytes: &[u8]) -> String {
+    hex::encode(sha256(bytes))
+}
--- /dev/null
+++ b/crates/burdock-model/src/key.rs
@@ -0,0 +1,61 @@
+//! Keys that callers present. The tree holds only their hashes.
+
+use subtle::ConstantTimeEq;
+
+use crate::hash::sha256;
+use crate::ids::KeyId;
+
+/// Random bytes in a key.
+pub const SECRET_BYTES: usize = 32;
+
+const PREFIX: &str = "bk";
+
+/// A key's text as borrowed from a request, split into its parts.
+#[derive(Clone, Copy, Debug)]
+pub struct PresentedKey<'a> {
+    /// The public part.
+    pub id: &'a str,
+    secret: &'a str,
+}
+
+impl<'a> PresentedKey<'a> {
+    /// Splits a presented text. Returns `None` where it has not the form of a key.
+    ///
+    /// ```
+    /// use burdock_model::ids::KeyId;
+    /// use burdock_model::key::{hash_of, issue, PresentedKey};
+    /// let id = KeyId::new("k1").unwrap();
+    /// let text = issue(&id, &[7; 32]);
+    /// let key = PresentedKey::parse(&text).unwrap();
+    /// assert!(key.matches(&hash_of(&[7; 32])));
+    /// assert!(!key.matches(&hash_of(&[8; 32])));
+    /// assert!(PresentedKey::parse("bk.k1").is_none());
+    /// ```
+    #[must_use]
+    pub fn parse(text: &'a str) -> Option<Self> {
+        let rest = text.strip_prefix(PREFIX)?.strip_prefix('.')?;
+        let (id, secret) = rest.rsplit_once('.')?;
+        if secret.len() != SECRET_BYTES * 2 {
+            return None;
+        }
+        Some(Self { id, secret })
+    }
+
+    /// Whether the secret's hash is the stored one, in constant time.
+    #[must_use]
+    pub fn matches(&self, stored: &[u8; 32]) -> bool {
+        sha256(self.secret.as_bytes()).ct_eq(stored).into()
+    }
+}
+
+/// The text of a new key. It is shown once and kept nowhere.
+#[must_use]
+pub fn issue(id: &KeyId, secret: &[u8; SECRET_BYTES]) -> String {
+    format!("{PREFIX}.{id}.{}", hex::encode(secret))
+}
+
+/// The hash of a secret that the tree holds.
+#[must_use]
+pub fn hash_of(secret: &[u8; SECRET_BYTES]) -> [u8; 32] {
+    sha256(hex::encode(secret).as_bytes())
+}
--- /dev/null
+++ b/crates/burdock-model/src/lib.rs
@@ -0,0 +1,18 @@
+//! Words of the domain: ids, units, the settings tree and its inheritance, and the errors with their table.
+//!
+//! This package does no input or output and knows no transport.
+
+pub mod blocks;
+pub mod error;
+pub mod hash;
+pub mod ids;
+pub mod jsonc;
+pub mod key;
+pub mod manifest;
+pub mod prelude;
+pub mod resolve;
+pub mod settings;
+pub mod snapshot;
+pub mod tree;
+pub mod treepath;
+pub mod units;
--- /dev/null
+++ b/crates/burdock-model/src/resolve.rs
@@ -0,0 +1,281 @@
+//! Inheritance from level to level, and the checks of a whole tree.
+
+use std::collections::HashSet;
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{OrganisationName, RouteName, ServiceName};
+use crate::settings::{Level, LevelSettings, ResolvedSettings};
+use crate::tree::{OrganisationNode, RouteNode, ServiceNode, Tree};
+
+/// Thousandths in a whole.
+const PER_MILLE: u32 = 1000;
+
+/// Which node of the inheritance is meant.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    /// The organisation, or the fleet where left out.
+    pub organisation: Option<&'a OrganisationName>,
+    /// The service within it.
+    pub service: Option<&'a ServiceName>,
+    /// The route within that.
+    pub route: Option<&'a RouteName>,
+}
+
+/// The settings in force at a node, each with its source.
+///
+/// ```
+/// use burdock_model::prelude::*;
+/// use burdock_model::resolve::{resolve, Scope};
+/// use burdock_model::settings::Level;
+/// let tree = Tree::from_value(&serde_json::json!({
+///     "settings": {"rate": "10/s"},
+///     "organisations": {"small": {"settings": {"burst": 5}}}
+/// })).unwrap();
+/// let small = OrganisationName::new("small").unwrap();
+/// let found = resolve(&tree, Scope { organisation: Some(&small), service: None, route: None });
+/// assert_eq!(found.rate.from, Level::Fleet);
+/// assert_eq!(found.burst.value, 5);
+/// ```
+#[must_use]
+pub fn resolve(tree: &Tree, scope: Scope<'_>) -> ResolvedSettings {
+    let fleet = ResolvedSettings::default().overlay(&tree.settings, Level::Fleet);
+    let Some(organisation) = scope.organisation.and_then(|name| tree.organisations.get(name)) else {
+        return fleet;
+    };
+    let at_organisation = fleet.overlay(&organisation.settings, Level::Organisation);
+    let Some(service) = scope.service.and_then(|name| organisation.services.get(name)) else {
+        return at_organisation;
+    };
+    let at_service = at_organisation.overlay(&service.settings, Level::Service);
+    let Some(route) = scope.route.and_then(|name| service.routes.get(name)) else {
+        return at_service;
+    };
+    at_service.overlay(&route.settings, Level::Route)
+}
+
+/// Checks what the shape of the JSON can't tell.
+///
+/// # Errors
+/// [`ErrorKind::InvalidTree`] for the first fault found.
+pub fn check(tree: &Tree) -> Result<()> {
+    check_resolved(
+        &resolve(
+            tree,
+            Scope {
+                organisation: None,
+                service: None,
+                route: None,
+            },
+        ),
+        "settings",
+    )?;
+    check_services(tree)?;
+    for (name, organisation) in &tree.organisations {
+        check_organisation(tree, name, organisation)?;
+    }
+    Ok(())
+}
+
+fn check_services(tree: &Tree) -> Result<()> {
+    let mut prefixes = HashSet::new();
+    let mut ids = HashSet::new();
+    for (name, service) in &tree.services {
+        let at = format!("services.{name}");
+        check_split(tree, service).map_err(|e| e.at(&at))?;
+        for (id, backend) in &service.backends {
+            if !ids.insert(id) {
+                return Err(invalid(
+                    format!("{at}.backends: `{id}` stands twice"),
+                    "give each backend server its own id",
+                ));
+            }
+            if backend.slots == 0 {
+                return Err(invalid(
+                    format!("{at}.backends.{id}: found 0 slots"),
+                    "write 1 or more",
+                ));
+            }
+        }
+        for (route_name, route) in &service.routes {
+            let at = format!("{at}.routes.{route_name}");
+            check_route(route).map_err(|e| e.at(&at))?;
+            if !prefixes.insert((route.host.clone(), route.prefix.clone())) {
+                return Err(invalid(
+                    format!("{at}: prefix `{}` stands twice for the same host", route.prefix),
+                    "give each route its own prefix",
+                ));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_split(tree: &Tree, service: &ServiceNode) -> Result<()> {
+    if service.split_per_mille.is_empty() {
+        return Ok(());
+    }
+    if let Some(unknown) = service
+        .split_per_mille
+        .keys()
+        .find(|r| !tree.regions.contains_key(*r))
+    {
+        return Err(invalid(
+            format!("split_per_mille names `{unknown}`"),
+            "name a region under `regions`",
+        ));
+    }
+    let sum: u32 = service.split_per_mille.values().sum();
+    if sum != PER_MILLE {
+        return Err(invalid(
+            format!("split_per_mille adds up to {sum}"),
+            "make it add up to 1000",
+        ));
+    }
+    Ok(())
+}
+
+fn check_route(route: &RouteNode) -> Result<()> {
+    if !route.prefix.starts_with('/') {
+        return Err(invalid(
+            format!("found prefix `{}`", route.prefix),
+            "a prefix starts with `/`",
+        ));
+    }
+    if route.prefix.starts_with("/.burdock/") {
+        return Err(invalid(
+            "found a prefix under `/.burdock/`",
+            "that prefix is the system's own",
+        ));
+    }
+    Ok(())
+}
+
+fn check_organisation(tree: &Tree, name: &OrganisationName, organisation: &OrganisationNode) -> Result<()> {
+    let at = format!("organisations.{name}");
+    check_keys(tree, name, organisation)?;
+    let scope = Scope {
+        organisation: Some(name),
+        service: None,
+        route: None,
+    };
+    check_resolved(&resolve(tree, scope), &at)?;
+    for (service_name, service) in &organisation.services {
+        let at = format!("{at}.services.{service_name}");
+        let Some(defined) = tree.services.get(service_name) else {
+            return Err(invalid(
+                format!("{at}: no such service"),
+                "define it under `services` first",
+            ));
+        };
+        check_inner(&service.settings, &at)?;
+        let scope = Scope {
+            service: Some(service_name),
+            ..scope
+        };
+        check_resolved(&resolve(tree, scope), &at)?;
+        for (route_name, route) in &service.routes {
+            let at = format!("{at}.routes.{route_name}");
+            check_override(defined, route_name, &at)?;
+            check_inner(&route.settings, &at)?;
+            check_resolved(
+                &resolve(
+                    tree,
+                    Scope {
+                        route: Some(route_name),
+                        ..scope
+                    },
+                ),
+                &at,
+            )?;
+        }
+    }
+    Ok(())
+}
+
+fn check_keys(tree: &Tree, name: &OrganisationName, organisation: &OrganisationNode) -> Result<()> {
+    for (id, key) in &organisation.keys {
+        let at = format!("organisations.{name}.keys.{id}");
+        if hex::decode(&key.hash).map(|h| h.len()) != Ok(32) {
+            return Err(invalid(
+                format!("{at}: hash is not 64 hexadecimal digits"),
+                "issue keys by the admin API",
+            ));
+        }
+        let elsewhere = tree
+            .organisations
+            .iter()
+            .find(|(other, o)| *other != name && o.keys.contains_key(id));
+        if let Some((other, _)) = elsewhere {
+            return Err(invalid(
+                format!("{at}: `{other}` has a key with this id"),
+                "give each key its own id",
+            ));
+        }
+    }
+    Ok(())
+}
+
+fn check_override(service: &ServiceNode, route: &RouteName, at: &str) -> Result<()> {
+    match service.routes.get(route) {
+        None => Err(invalid(
+            format!("{at}: no such route"),
+            "define it under the service first",
+        )),
+        Some(defined) if defined.open => Err(invalid(
+            format!("{at}: the service opens this route to all, so an organisation can't override it"),
+            "remove the override or close the route",
+        )),
+        Some(_) => Ok(()),
+    }
+}
+
+fn check_inner(settings: &LevelSettings, at: &str) -> Result<()> {
+    let fields = [
+        ("rate", settings.rate.is_some()),
+        ("burst", settings.burst.is_some()),
+        ("weight", settings.weight.is_some()),
+    ];
+    match fields.into_iter().find(|(_, set)| *set) {
+        Some((field, _)) => Err(invalid(
+            format!("{at}.settings.{field}: set at the wrong level"),
+            "set it for the fleet or for an organisation",
+        )),
+        None => Ok(()),
+    }
+}
+
+fn check_resolved(settings: &ResolvedSettings, at: &str) -> Result<()> {
+    if settings.burst.value == 0 && settings.rate.value.micros_per_second() > 0 {
+        return Err(invalid(
+            format!("{at}: burst is 0 though rate is {}", settings.rate.value),
+            "write a burst of 1 or more",
+        ));
+    }
+    if settings.weight.value == 0 {
+        return Err(invalid(
+            format!("{at}: weight is 0"),
+            "write a weight of 1 or more",
+        ));
+    }
+    if settings.timeout.value.0 == 0 {
+        return Err(invalid(
+            format!("{at}: timeout is 0"),
+            "write a timeout of 1ms or more",
+        ));
+    }
+    let hedge = settings.hedge_after;
+    if hedge.value.0 > 0 && hedge.value >= settings.timeout.value {
+        return Err(invalid(
+            format!(
+                "{at}: hedge_after {} (set at {:?}) contradicts timeout {} (set at {:?})",
+                hedge.value, hedge.from, settings.timeout.value, settings.timeout.from
+            ),
+            "make hedge_after shorter than timeout",
+        ));
+    }
+    Ok(())
+}
+
+fn invalid(detail: impl Into<String>, hint: &str) -> Error {
+    Error::new(ErrorKind::InvalidTree, detail).hint(hint)
+}
--- /dev/null
+++ b/crates/burdock-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's interfaces: the key-value store and the instance list.
--- /dev/null
+++ b/crates/burdock-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers.
--- /dev/null
+++ b/crates/burdock-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The inner protocol between instances.
