Add the decisions, the store's interface, stand-ins and the inner protocol

Cause: a path from caller to backend server needs all of them. Change: burdock-decide holds each decision as a plain function; burdock-platform the store as a struct of closures with an HTTP binding and the settlement of lost answers; burdock-standin a store and a backend server with faults; burdock-wire typed messages over capnp-rpc on session threads, generated code committed. Conclusion: the node can be put together from these.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -1,1 +1,21 @@
-//! Every decision as a plain function over borrowed views.
+//! Every decision of the system as a plain function over borrowed views.
+//!
+//! Time and randomness come in as arguments. Nothing here does input or output, waits, or knows how
+//! messages are encoded, so another front end can drive the same functions.
+
+pub mod admit;
+pub mod answer;
+pub mod connectivity;
+pub mod headers;
+pub mod limit;
+pub mod membership;
+pub mod once;
+pub mod pick;
+pub mod quarantine;
+pub mod region;
+pub mod retry;
+pub mod shares;
+pub mod shift;
+pub mod shutdown;
+pub mod steer;
+pub mod time;
--- /dev/null
+++ b/crates/burdock-decide/src/membership.rs
@@ -0,0 +1,202 @@
+//! Which instances are there: heartbeats, suspicion, and whom to exchange with.
+
+use std::time::Duration;
+
+use burdock_model::fleet::Heartbeat;
+use burdock_model::hash::{ranked, stable};
+use burdock_model::ids::{Incarnation, InstanceId, RegionName, ZoneName};
+
+use crate::time::Time;
+
+/// Time between two rounds of exchange.
+pub const ROUND: Duration = Duration::from_millis(500);
+
+/// Time between two rounds in a fleet of more than [`LARGE_FLEET`] instances.
+pub const LARGE_ROUND: Duration = Duration::from_millis(1000);
+
+/// Instances from which a fleet counts as large.
+pub const LARGE_FLEET: usize = 100;
+
+/// Instances in each zone that watch the store for the others.
+pub const WATCHERS_PER_ZONE: usize = 2;
+
+/// Partners outside the watchers in one round.
+pub const RANDOM_PARTNERS: usize = 2;
+
+/// The most heartbeats in one message.
+pub const MAX_DIGEST: usize = 48;
+
+const SUSPECT_BASE: Duration = Duration::from_millis(2000);
+const SUSPECT_PER_MEMBER: Duration = Duration::from_millis(12);
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// What is known of one instance.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its id.
+    pub id: InstanceId,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its latest life.
+    pub incarnation: Incarnation,
+    /// The newest heartbeat of that life.
+    pub heartbeat: u64,
+    /// When that heartbeat was first heard of.
+    pub heard: Time,
+    /// It has said that it is leaving, or the platform's list says so.
+    pub leaving: bool,
+    /// The platform's list holds it.
+    pub listed: bool,
+    /// It knows of a configuration change that is not settled.
+    pub change_pending: bool,
+}
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// Heard of lately.
+    Alive,
+    /// Alive and leaving: no new work.
+    Leaving,
+    /// Not heard of for a while.
+    Suspect,
+    /// Neither listed nor heard of: to be dropped.
+    Gone,
+}
+
+/// How long a member may be silent before it is suspected. It grows with the fleet, since heartbeats
+/// take more rounds to spread.
+#[must_use]
+pub fn suspect_after(members: usize) -> Duration {
+    SUSPECT_BASE + SUSPECT_PER_MEMBER * u32::try_from(members).unwrap_or(u32::MAX)
+}
+
+/// The time between rounds for a fleet of this size.
+#[must_use]
+pub const fn round_time(members: usize) -> Duration {
+    if members > LARGE_FLEET { LARGE_ROUND } else { ROUND }
+}
+
+/// The hash that stands for an instance in heartbeats.
+#[must_use]
+pub fn id_hash(id: &InstanceId) -> u64 {
+    stable(id.as_str().as_bytes(), 0)
+}
+
+/// Takes in a heartbeat. Returns whether it was news. A lower incarnation never replaces a higher one.
+///
+/// ```
+/// use burdock_decide::membership::*;
+/// use burdock_decide::time::Time;
+/// use burdock_model::fleet::Heartbeat;
+/// use burdock_model::prelude::*;
+/// let mut member = Member {
+///     id: InstanceId::new("a").unwrap(), region: RegionName::new("r").unwrap(),
+///     zone: ZoneName::new("z").unwrap(), incarnation: Incarnation(2), heartbeat: 5,
+///     heard: Time(0), leaving: false, listed: true, change_pending: false,
+/// };
+/// let beat = Heartbeat { id_hash: id_hash(&member.id), incarnation: Incarnation(1), heartbeat: 9, leaving: false,
+///     change_pending: false };
+/// assert!(!observe(&mut member, &beat, Time(10)));
+/// assert!(observe(&mut member, &Heartbeat { incarnation: Incarnation(3), ..beat }, Time(10)));
+/// ```
+pub fn observe(member: &mut Member, beat: &Heartbeat, now: Time) -> bool {
+    let newer = (beat.incarnation, beat.heartbeat) > (member.incarnation, member.heartbeat);
+    if !newer {
+        return false;
+    }
+    if beat.incarnation > member.incarnation {
+        member.leaving = false;
+    }
+    member.incarnation = beat.incarnation;
+    member.heartbeat = beat.heartbeat;
+    member.heard = now;
+    member.leaving |= beat.leaving;
+    member.change_pending = beat.change_pending;
+    true
+}
+
+/// How a member stands now.
+#[must_use]
+pub fn standing(member: &Member, members: usize, now: Time) -> Standing {
+    let silent = now.since(member.heard);
+    if member.incarnation.0 > 0 && silent <= suspect_after(members) {
+        return if member.leaving {
+            Standing::Leaving
+        } else {
+            Standing::Alive
+        };
+    }
+    if !member.listed && silent > FORGET_AFTER {
+        return Standing::Gone;
+    }
+    Standing::Suspect
+}
+
+/// Whether an instance is one of those that watch the store for its zone.
+///
+/// Every member that is listed or heard of competes, so that views that differ by one still agree on
+/// at least one watcher.
+#[must_use]
+pub fn watchers<'a>(zone: &ZoneName, members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let subject = stable(zone.as_str().as_bytes(), 1);
+    let mut found = ranked(subject, members.filter(|m| m.zone == *zone), |m| m.id.as_str());
+    found.truncate(WATCHERS_PER_ZONE);
+    found
+}
+
+/// The partners of one round: the zone's watchers, then a walk over all members that starts at a place
+/// drawn at random, so that every pair meets in turn.
+#[must_use]
+pub fn partners<'a>(own: &InstanceId, zone: &ZoneName, members: &'a [Member], draw: u64) -> Vec<&'a Member> {
+    let mut chosen: Vec<&Member> = watchers(zone, members.iter().filter(|m| m.id != *own));
+    let others: Vec<&Member> = members
+        .iter()
+        .filter(|m| m.id != *own && !chosen.iter().any(|c| c.id == m.id))
+        .collect();
+    if others.is_empty() {
+        return chosen;
+    }
+    let start = usize::try_from(draw % others.len() as u64).unwrap_or(0);
+    let stride = 1 + usize::try_from((draw >> 32) % others.len() as u64).unwrap_or(0);
+    for step in 0..RANDOM_PARTNERS.min(others.len()) {
+        let candidate = others[(start + step * stride) % others.len()];
+        if !chosen.iter().any(|c| c.id == candidate.id) {
+            chosen.push(candidate);
+        }
+    }
+    chosen
+}
+
+/// The heartbeats to send: the most recently heard first, at most [`MAX_DIGEST`].
+///
+/// Half of a full message goes to the newest, the other half walks over the rest, so that no member's
+/// heartbeat is left behind in a large fleet.
+#[must_use]
+pub fn digest(members: &[Member], draw: u64) -> Vec<Heartbeat> {
+    let mut known: Vec<&Member> = members.iter().filter(|m| m.incarnation.0 > 0).collect();
+    known.sort_by_key(|m| std::cmp::Reverse(m.heard));
+    if known.len() > MAX_DIGEST {
+        let newest = MAX_DIGEST / 2;
+        let rest = known.len() - newest;
+        let start = usize::try_from(draw % rest as u64).unwrap_or(0);
+        let walk: Vec<&Member> = (0..MAX_DIGEST - newest)
+            .map(|i| known[newest + (start + i) % rest])
+            .collect();
+        known.truncate(newest);
+        known.extend(walk);
+    }
+    known.into_iter().map(heartbeat_of).collect()
+}
+
+fn heartbeat_of(member: &Member) -> Heartbeat {
+    Heartbeat {
+        id_hash: id_hash(&member.id),
+        incarnation: member.incarnation,
+        heartbeat: member.heartbeat,
+        leaving: member.leaving,
+        change_pending: member.change_pending,
+    }
+}
--- /dev/null
+++ b/crates/burdock-decide/src/pick.rs
@@ -0,0 +1,178 @@
+//! Which backend server of a region takes a request.
+
+use std::time::Duration;
+
+use burdock_model::hash::{ranked, stable};
+
+use crate::time::Time;
+
+/// A load report older than this counts as unknown.
+pub const REPORT_BOUND: Duration = Duration::from_millis(3000);
+
+/// How long a backend server that came back gets less than its part.
+pub const RAMP: Duration = Duration::from_secs(10);
+
+/// Outcomes in a row that overrule a health endpoint which says all is well.
+pub const FAILURES_TO_EJECT: u32 = 3;
+
+/// How long a backend server ejected by outcomes is left alone.
+pub const EJECTED_FOR: Duration = Duration::from_millis(2000);
+
+/// Probers for each backend server.
+pub const PROBERS: usize = 2;
+
+/// Connections that a backend server holds, all instances together.
+pub const BACKEND_CONNECTIONS: usize = 800;
+
+/// What an instance knows of one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendView {
+    /// Slots it works with.
+    pub slots: u32,
+    /// Requests this instance has there.
+    pub own_in_flight: u32,
+    /// Requests there by its newest report.
+    pub reported: Option<u32>,
+    /// When that report was made.
+    pub reported_at: Time,
+    /// Mean time that it works on a request.
+    pub service_time: Duration,
+    /// It takes new work: not draining, not ejected, not out by probes.
+    pub open: bool,
+    /// When it last came into use; the ramp starts there.
+    pub since: Time,
+}
+
+/// What this instance remembers of a backend server's outcomes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Health {
+    /// Failures in a row seen by requests.
+    pub failures: u32,
+    /// No new work before this time.
+    pub ejected_until: Time,
+    /// The probers say that it is out.
+    pub probed_out: bool,
+}
+
+impl Health {
+    /// Takes in the outcome of a request. Returns whether the backend server is newly ejected.
+    pub fn outcome(&mut self, good: bool, now: Time) -> bool {
+        if good {
+            self.failures = 0;
+            return false;
+        }
+        self.failures += 1;
+        if self.failures < FAILURES_TO_EJECT || now < self.ejected_until {
+            return false;
+        }
+        self.ejected_until = now + EJECTED_FOR;
+        self.failures = 0;
+        true
+    }
+
+    /// Whether new work may go there.
+    #[must_use]
+    pub fn is_open(&self, now: Time) -> bool {
+        !self.probed_out && now >= self.ejected_until
+    }
+}
+
+/// Picks the better of two drawn at random. Returns an index into `backends`.
+///
+/// `tried` are indices that must not be taken again. `draw` is uniform over all `u64`.
+///
+/// ```
+/// use burdock_decide::pick::*;
+/// use burdock_decide::time::Time;
+/// use std::time::Duration;
+/// let idle = BackendView { slots: 6, own_in_flight: 0, reported: Some(0), reported_at: Time(0),
+///     service_time: Duration::from_millis(5), open: true, since: Time(0) };
+/// let busy = BackendView { reported: Some(12), ..idle };
+/// assert_eq!(pick(&[busy, idle], &[], 0, Time(0)), Some(1));
+/// assert_eq!(pick(&[BackendView { open: false, ..idle }], &[], 0, Time(0)), None);
+/// ```
+#[must_use]
+pub fn pick(backends: &[BackendView], tried: &[usize], draw: u64, now: Time) -> Option<usize> {
+    let usable = |ix: &usize| backends[*ix].open && !tried.contains(ix);
+    let count = (0..backends.len()).filter(usable).count() as u64;
+    if count == 0 {
+        return None;
+    }
+    let nth = |n: u64| {
+        (0..backends.len())
+            .filter(usable)
+            .nth(usize::try_from(n).unwrap_or(0))
+    };
+    let drawn = draw % count;
+    let first = nth(drawn)?;
+    if count == 1 {
+        return Some(first);
+    }
+    let second = nth((drawn + 1 + (draw >> 32) % (count - 1)) % count)?;
+    let (a, b) = (cost(&backends[first], now), cost(&backends[second], now));
+    // A tie goes to the one with fewer requests from here.
+    let better = (b, backends[second].own_in_flight) < (a, backends[first].own_in_flight);
+    Some(if better { second } else { first })
+}
+
+/// The wait to expect at a backend server, ramp included.
+#[must_use]
+pub fn cost(backend: &BackendView, now: Time) -> Duration {
+    let slots = backend.slots.max(1);
+    let ahead = estimated_in_flight(backend, now);
+    let waiting = (ahead + 1).saturating_sub(slots);
+    let wait = backend.service_time * waiting / slots;
+    let busy_part = backend.service_time * ahead / slots / 8;
+    let cold = ramp_penalty(backend, now);
+    wait + busy_part + cold
+}
+
+/// Requests to assume at a backend server. A report that is too old counts as nearly full, never idle.
+#[must_use]
+pub fn estimated_in_flight(backend: &BackendView, now: Time) -> u32 {
+    let fresh = now.since(backend.reported_at) <= REPORT_BOUND;
+    match backend.reported.filter(|_| fresh) {
+        Some(reported) => reported.max(backend.own_in_flight),
+        None => backend.own_in_flight.max(backend.slots * 3 / 4),
+    }
+}
+
+/// The backend servers that one instance keeps connections to, so that no backend server is asked for
+/// more than [`BACKEND_CONNECTIONS`] by the whole fleet.
+pub fn subset<'a, T>(
+    own: &str,
+    instances: usize,
+    connections_each: usize,
+    backends: impl Iterator<Item = &'a T>,
+    id: impl Fn(&T) -> &str,
+) -> Vec<&'a T> {
+    let total: Vec<&T> = backends.collect();
+    let wanted_connections = instances.max(1) * connections_each.max(1);
+    let kept = (total.len() * BACKEND_CONNECTIONS)
+        .div_ceil(wanted_connections)
+        .clamp(total.len().min(2), total.len());
+    let subject = stable(own.as_bytes(), 3);
+    let mut chosen = ranked(subject, total.into_iter(), |b| id(b));
+    chosen.truncate(kept);
+    chosen
+}
+
+/// Whether this instance is one of a backend server's probers. `instances` are those of its region.
+#[must_use]
+pub fn probes<'a>(backend: &str, own: &str, instances: impl Iterator<Item = &'a str>) -> bool {
+    let subject = stable(backend.as_bytes(), 4);
+    ranked(subject, instances, |id| id)
+        .into_iter()
+        .take(PROBERS)
+        .any(|id| id == own)
+}
+
+fn ramp_penalty(backend: &BackendView, now: Time) -> Duration {
+    let warm_for = now.since(backend.since);
+    if warm_for >= RAMP {
+        return Duration::ZERO;
+    }
+    let left = RAMP - warm_for;
+    let part = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+    backend.service_time * part / u32::try_from(RAMP.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/burdock-decide/src/quarantine.rs
@@ -0,0 +1,126 @@
+//! Holding back a request that crashes the backend servers that run it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use burdock_model::hash::stable;
+use burdock_model::ids::BackendId;
+
+use crate::time::Time;
+
+/// Crashes of distinct backend servers after which a request is refused.
+pub const STRIKES_TO_REFUSE: usize = 2;
+
+/// How long it is refused.
+pub const REFUSED_FOR: Duration = Duration::from_secs(60);
+
+/// How long a strike is remembered.
+pub const STRIKE_KEPT: Duration = Duration::from_secs(120);
+
+/// What makes two requests the same for this purpose.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity<'a> {
+    /// The organisation, empty on an open route.
+    pub organisation: &'a str,
+    /// The method.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// Hash of the body where it is held, else of its length.
+    pub body: u64,
+    /// The idempotency key, if any.
+    pub idempotency_key: Option<&'a str>,
+}
+
+/// The fingerprint of a request.
+///
+/// ```
+/// use burdock_decide::quarantine::{fingerprint, Identity};
+/// let one = Identity { organisation: "o", method: "GET", path: "/a", body: 0, idempotency_key: None };
+/// assert_eq!(fingerprint(&one), fingerprint(&one));
+/// assert_ne!(fingerprint(&one), fingerprint(&Identity { path: "/b", ..one }));
+/// ```
+#[must_use]
+pub fn fingerprint(identity: &Identity<'_>) -> u64 {
+    const SEED: u64 = 5;
+    let mut hash = stable(identity.organisation.as_bytes(), SEED);
+    hash = stable(identity.method.as_bytes(), hash);
+    hash = stable(identity.path.as_bytes(), hash);
+    hash = stable(identity.idempotency_key.unwrap_or("").as_bytes(), hash);
+    stable(&identity.body.to_le_bytes(), hash)
+}
+
+/// What is known against one fingerprint.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Strikes {
+    backends: BTreeSet<BackendId>,
+    last: Time,
+}
+
+/// How a request is to be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// As any other.
+    Run,
+    /// On a backend server where nothing else of this instance runs, so that a crash has one suspect.
+    RunAlone,
+    /// Not at all for now.
+    Refuse,
+}
+
+impl Strikes {
+    /// Counts a crash of a backend server while it ran the request. Returns whether it was news.
+    ///
+    /// With several requests at work there, each is a suspect.
+    pub fn crashed(&mut self, backend: &BackendId, now: Time) -> bool {
+        self.forget(now);
+        self.last = now;
+        self.backends.insert(backend.clone())
+    }
+
+    /// A suspect ran alone and its backend server lived: it is cleared.
+    pub fn cleared(&mut self) {
+        self.backends.clear();
+    }
+
+    /// How to run the request now.
+    ///
+    /// ```
+    /// use burdock_decide::quarantine::{Strikes, Verdict};
+    /// use burdock_decide::time::Time;
+    /// use burdock_model::ids::BackendId;
+    /// let mut strikes = Strikes::default();
+    /// assert_eq!(strikes.verdict(Time(0)), Verdict::Run);
+    /// strikes.crashed(&BackendId::new("b1").unwrap(), Time(0));
+    /// assert_eq!(strikes.verdict(Time(0)), Verdict::RunAlone);
+    /// strikes.crashed(&BackendId::new("b2").unwrap(), Time(0));
+    /// assert_eq!(strikes.verdict(Time(0)), Verdict::Refuse);
+    /// ```
+    #[must_use]
+    pub fn verdict(&self, now: Time) -> Verdict {
+        let since = now.since(self.last);
+        match self.backends.len() {
+            0 => Verdict::Run,
+            n if n >= STRIKES_TO_REFUSE && since < REFUSED_FOR => Verdict::Refuse,
+            _ if since < STRIKE_KEPT => Verdict::RunAlone,
+            _ => Verdict::Run,
+        }
+    }
+
+    /// Whether nothing is held against the request any more.
+    #[must_use]
+    pub fn is_stale(&self, now: Time) -> bool {
+        now.since(self.last) >= STRIKE_KEPT
+    }
+
+    /// The backend servers that crashed.
+    pub fn backends(&self) -> impl Iterator<Item = &BackendId> {
+        self.backends.iter()
+    }
+
+    fn forget(&mut self, now: Time) {
+        if self.is_stale(now) {
+            self.backends.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-decide/src/shares.rs
@@ -0,0 +1,189 @@
+//! Who holds which share of an organisation's limits: the agreed record and how it moves.
+//!
+//! A share moves in two steps. First the record names the wanted split beside the present one, and
+//! every holder uses the smaller of its two shares. Once all that lose have confirmed this, or have
+//! been silent for so long that they have stopped by themselves, the wanted split becomes the present one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use burdock_model::hash::{ranked, stable};
+use burdock_model::ids::{InstanceId, Life, RegionName};
+
+use burdock_model::units::Rate;
+
+use crate::limit::{Allotment, SHARE_WHOLE, allotment};
+
+/// Requests a second that justify a further holder in a region.
+pub const RATE_PER_HOLDER: u64 = 50;
+
+/// The most holders in one region.
+pub const MAX_HOLDERS_PER_REGION: usize = 6;
+
+/// Who holds what of one organisation. Shares are in parts of [`SHARE_WHOLE`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct ShareRecord {
+    /// Counts up with each write.
+    pub version: u64,
+    /// Shares at present.
+    pub present: BTreeMap<Life, u64>,
+    /// Shares wanted; the same as `present` when nothing moves.
+    pub wanted: BTreeMap<Life, u64>,
+}
+
+/// What the keeper of a record knows of one holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HolderView {
+    /// The version of the record that it last said it acts on.
+    pub confirmed: u64,
+    /// This life of it has been silent for longer than the wait for a takeover.
+    pub stopped: bool,
+}
+
+/// What the keeper of a record does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing to do.
+    Settled,
+    /// Wait for holders that lose to confirm.
+    Wait,
+    /// Write this record in place of the one read.
+    Write(ShareRecord),
+}
+
+impl ShareRecord {
+    /// What a holder may give out of an organisation's rate and burst.
+    ///
+    /// While a share moves, the holder acts on the smaller of what the two splits give it.
+    #[must_use]
+    pub fn allotment_of(&self, life: &Life, rate: Rate, burst: u32) -> Allotment {
+        let under = |shares: &BTreeMap<Life, u64>| {
+            range_in(shares, life)
+                .map_or_else(Allotment::default, |(from, to)| allotment(rate, burst, from, to))
+        };
+        let (present, wanted) = (under(&self.present), under(&self.wanted));
+        Allotment {
+            rate: present.rate.min(wanted.rate),
+            cap: present.cap.min(wanted.cap),
+        }
+    }
+
+    /// Whether the split is at rest.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.present == self.wanted
+    }
+}
+
+/// The holders that an organisation should have: in each region as many as its rate justifies, by
+/// rendezvous rank, and never more in all than it has whole tokens in its burst.
+///
+/// ```
+/// use burdock_decide::shares::assigned;
+/// use burdock_model::prelude::*;
+/// let id = |n: &str| InstanceId::new(n).unwrap();
+/// let region = RegionName::new("riga").unwrap();
+/// let members = [id("a"), id("b"), id("c")];
+/// let found = assigned("small", 10, 100, members.iter().map(|m| (m, &region)));
+/// assert_eq!(found.len(), 2);
+/// ```
+#[must_use]
+pub fn assigned<'a>(
+    organisation: &str,
+    rate_per_second: u64,
+    burst: u32,
+    members: impl Iterator<Item = (&'a InstanceId, &'a RegionName)>,
+) -> Vec<&'a InstanceId> {
+    const LEAST_PER_REGION: usize = 2;
+    let subject = stable(organisation.as_bytes(), 2);
+    let mut by_region: BTreeMap<&RegionName, Vec<&InstanceId>> = BTreeMap::new();
+    for (id, region) in members {
+        by_region.entry(region).or_default().push(id);
+    }
+    let regions = u64::try_from(by_region.len().max(1)).unwrap_or(1);
+    let justified =
+        usize::try_from(rate_per_second.div_ceil(RATE_PER_HOLDER * regions)).unwrap_or(usize::MAX);
+    let count = justified.clamp(LEAST_PER_REGION, MAX_HOLDERS_PER_REGION);
+    let ranked_regions: Vec<Vec<&InstanceId>> = by_region
+        .into_values()
+        .map(|ids| ranked(subject, ids.into_iter(), |id| id.as_str()))
+        .collect();
+    let by_rank = (0..count).flat_map(|rank| {
+        ranked_regions
+            .iter()
+            .filter_map(move |ids| ids.get(rank).copied())
+    });
+    by_rank.take(burst.max(1) as usize).collect()
+}
+
+/// An even split over lives. The parts add up to no more than the whole.
+#[must_use]
+pub fn even_split(lives: &BTreeSet<Life>) -> BTreeMap<Life, u64> {
+    let Ok(count) = u64::try_from(lives.len()) else {
+        return BTreeMap::new();
+    };
+    if count == 0 {
+        return BTreeMap::new();
+    }
+    lives
+        .iter()
+        .map(|life| (life.clone(), SHARE_WHOLE / count))
+        .collect()
+}
+
+/// Decides the next write of a record towards a wanted split.
+///
+/// `view` tells what is known of a holder. A write is only valid in place of the record given here.
+#[must_use]
+pub fn next_step(
+    record: &ShareRecord,
+    want: &BTreeMap<Life, u64>,
+    view: impl Fn(&Life) -> HolderView,
+) -> Step {
+    if !record.is_settled() {
+        return finish_move(record, want, view);
+    }
+    if record.present == *want {
+        return Step::Settled;
+    }
+    Step::Write(ShareRecord {
+        version: record.version + 1,
+        present: record.present.clone(),
+        wanted: want.clone(),
+    })
+}
+
+fn finish_move(record: &ShareRecord, want: &BTreeMap<Life, u64>, view: impl Fn(&Life) -> HolderView) -> Step {
+    // A range that only moves may lose a whole token to rounding, so it must be confirmed as well.
+    let moves = |life: &Life| range_in(&record.wanted, life) != range_in(&record.present, life);
+    let may_still_use = |life: &Life| {
+        let holder = view(life);
+        !holder.stopped && holder.confirmed < record.version
+    };
+    let waiting = record
+        .present
+        .keys()
+        .any(|life| moves(life) && may_still_use(life));
+    if !waiting {
+        let present = record.wanted.clone();
+        return Step::Write(ShareRecord {
+            version: record.version + 1,
+            wanted: present.clone(),
+            present,
+        });
+    }
+    if record.wanted == *want {
+        return Step::Wait;
+    }
+    // The wanted split has changed in mid-move. The present one still binds, so it stays.
+    Step::Write(ShareRecord {
+        version: record.version + 1,
+        present: record.present.clone(),
+        wanted: want.clone(),
+    })
+}
+
+fn range_in(shares: &BTreeMap<Life, u64>, life: &Life) -> Option<(u64, u64)> {
+    let share = *shares.get(life)?;
+    let from: u64 = shares.range(..life).map(|(_, s)| s).sum();
+    Some((from, from + share))
+}
--- /dev/null
+++ b/crates/burdock-decide/src/shift.rs
@@ -0,0 +1,78 @@
+//! How fast a split may change.
+//!
+//! Each instance keeps its own split under the cap. The fleet's split is a mean of the instances'
+//! splits, so it obeys the cap too, without a coordinator.
+
+use std::time::Duration;
+
+use crate::region::SPLIT_WHOLE;
+
+/// Cap for plans where the service sets none, in thousandths of its traffic a second.
+pub const PLAN_CAP_PER_MILLE: u32 = 50;
+
+/// Cap for failover where the service sets none, in thousandths of its traffic a second.
+pub const FAILOVER_CAP_PER_MILLE: u32 = 200;
+
+/// Moves a split towards a target by no more than the cap allows in the time passed.
+///
+/// What moves is half of the sum of all differences, in parts of [`SPLIT_WHOLE`].
+///
+/// ```
+/// use burdock_decide::shift::{moved, slew};
+/// use std::time::Duration;
+/// let from = [1_000_000, 0];
+/// let to = slew(&from, &[0, 1_000_000], 200, Duration::from_millis(500));
+/// assert_eq!(to, [900_000, 100_000]);
+/// assert_eq!(moved(&from, &to), 100_000);
+/// ```
+#[must_use]
+pub fn slew(present: &[u32], target: &[u32], cap_per_mille: u32, passed: Duration) -> Vec<u32> {
+    let wanted = u64::from(moved(present, target));
+    let allowed = u128::from(cap_per_mille) * passed.as_micros() / 1000;
+    let allowed = u64::try_from(allowed).unwrap_or(u64::MAX);
+    if wanted <= allowed {
+        return target.to_vec();
+    }
+    let step = |(from, to): (&u32, &u32)| {
+        let distance = i64::from(*to) - i64::from(*from);
+        let part = i128::from(distance) * i128::from(allowed) / i128::from(wanted);
+        u32::try_from(i128::from(*from) + part).unwrap_or(*from)
+    };
+    let mut next: Vec<u32> = present.iter().zip(target).map(step).collect();
+    settle_rounding(&mut next, present);
+    next
+}
+
+/// How much traffic a change of split moves, in parts of [`SPLIT_WHOLE`].
+#[must_use]
+pub fn moved(from: &[u32], to: &[u32]) -> u32 {
+    let sum: u64 = from.iter().zip(to).map(|(a, b)| u64::from(a.abs_diff(*b))).sum();
+    u32::try_from(sum.div_ceil(2)).unwrap_or(SPLIT_WHOLE)
+}
+
+/// The region for one request: an index drawn by the split. `draw` is uniform over all `u64`.
+#[must_use]
+pub fn draw_region(split: &[u32], draw: u64) -> Option<usize> {
+    let sum: u64 = split.iter().map(|w| u64::from(*w)).sum();
+    if sum == 0 {
+        return None;
+    }
+    let mut left = draw % sum;
+    for (ix, weight) in split.iter().enumerate() {
+        if left < u64::from(*weight) {
+            return Some(ix);
+        }
+        left -= u64::from(*weight);
+    }
+    None
+}
+
+// Rounding is towards the present split, so a remainder belongs where the split was largest.
+fn settle_rounding(next: &mut [u32], present: &[u32]) {
+    let before: u32 = present.iter().sum();
+    let after: u32 = next.iter().sum();
+    let largest = (0..present.len()).max_by_key(|ix| present[*ix]);
+    if let Some(ix) = largest {
+        next[ix] = (next[ix] + before).saturating_sub(after);
+    }
+}
--- a/crates/burdock-model/src/blocks.rs
+++ b/crates/burdock-model/src/blocks.rs
@@ -99,7 +99,7 @@
                 .hint("write `prefix region`, such as `10.0.0.0/8 riga`")
         };
         let (prefix, region) = line.split_once(char::is_whitespace).ok_or_else(malformed)?;
-        let prefix: IpNetwork = prefix.parse().map_err(|_| malformed())?;
+        let prefix: IpNetwork = prefix.parse().map_err(|_unparsed| malformed())?;
         let region = self.region_ix(region.trim())?;
         if self.len == MAX_BLOCKS {
             return Err(
@@ -130,7 +130,7 @@
             return Ok(u16::try_from(ix).unwrap_or(u16::MAX));
         }
         let ix = u16::try_from(self.regions.len())
-            .map_err(|_| Error::new(ErrorKind::TooLarge, "more than 65536 regions"))?;
+            .map_err(|_overflow| Error::new(ErrorKind::TooLarge, "more than 65536 regions"))?;
         self.regions.push(RegionName::new(name)?);
         Ok(ix)
     }
--- /dev/null
+++ b/crates/burdock-model/src/fleet.rs
@@ -0,0 +1,51 @@
+//! What instances tell each other about themselves and about backend servers.
+
+use crate::ids::{BackendId, Incarnation, Life};
+
+/// One heartbeat as it passes from instance to instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// [`stable`](crate::hash::stable) hash of the instance's id under seed 0.
+    pub id_hash: u64,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Counts up in each round.
+    pub heartbeat: u64,
+    /// It is leaving.
+    pub leaving: bool,
+    /// It knows of a configuration change that is not settled.
+    pub change_pending: bool,
+}
+
+/// A load report of a backend server, as it passes from instance to instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendLoad {
+    /// The backend server.
+    pub id: BackendId,
+    /// It takes new work.
+    pub accepting: bool,
+    /// Requests at work there.
+    pub in_flight: u32,
+    /// Age of the report in milliseconds when the message was made.
+    pub age_ms: u32,
+}
+
+/// A crash of a backend server while it ran a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Strike {
+    /// The request's fingerprint.
+    pub fingerprint: u64,
+    /// The backend server.
+    pub backend: BackendId,
+    /// Age in milliseconds when the message was made.
+    pub age_ms: u32,
+}
+
+/// An instance that left, and the one that holds its table of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Succession {
+    /// The one that left.
+    pub left: Life,
+    /// The one that answers for it.
+    pub successor: Life,
+}
--- a/crates/burdock-model/src/lib.rs
+++ b/crates/burdock-model/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod blocks;
 pub mod error;
+pub mod fleet;
 pub mod hash;
 pub mod ids;
 pub mod jsonc;
--- a/crates/burdock-model/src/manifest.rs
+++ b/crates/burdock-model/src/manifest.rs
@@ -15,6 +15,9 @@
 /// Changes that the head remembers, so that a lost answer can be settled.
 pub const RECENT_CHANGES: usize = 64;
 
+/// Names in a manifest that stand for chunks of client blocks rather than for parts of the tree.
+pub const CHUNK_PREFIX: &str = "chunk/";
+
 /// The one record that decides which configuration is in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +28,9 @@
     pub manifest: BTreeMap<String, String>,
     /// The latest changes, newest last.
     pub recent: Vec<Change>,
+    /// Blobs that are no longer in the manifest and not yet deleted, oldest first.
+    #[serde(default)]
+    pub retired: Vec<String>,
 }
 
 /// One accepted change.
@@ -51,10 +57,14 @@
         recent.push(change);
         let extra = recent.len().saturating_sub(RECENT_CHANGES);
         recent.drain(..extra);
+        let is_used = |blob: &String| manifest.values().any(|used| used == blob);
+        let mut retired: Vec<String> = self.retired.iter().filter(|b| !is_used(b)).cloned().collect();
+        retired.extend(self.manifest.values().filter(|b| !is_used(b)).cloned());
         Self {
             revision,
             manifest,
             recent,
+            retired,
         }
     }
 
@@ -99,7 +109,7 @@
 /// [`ErrorKind::InvalidTree`] when a blob is not JSON.
 pub fn join<'a>(blobs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Value> {
     let mut tree = Map::new();
-    for (name, text) in blobs {
+    for (name, text) in blobs.filter(|(name, _)| !name.starts_with(CHUNK_PREFIX)) {
         let value: Value = serde_json::from_str(text)
             .map_err(|e| Error::new(ErrorKind::InvalidTree, e.to_string()).at(name))?;
         match name.split_once('/') {
@@ -117,13 +127,16 @@
     Ok(Value::Object(tree))
 }
 
-/// Names each blob by its content.
+/// Names each blob of a tree by its content, and lists the chunks of client blocks that the tree names.
 #[must_use]
-pub fn manifest_of(blobs: &BTreeMap<String, String>) -> BTreeMap<String, String> {
-    blobs
+pub fn manifest_of(blobs: &BTreeMap<String, String>, chunks: &[String]) -> BTreeMap<String, String> {
+    let of_tree = blobs
+        .iter()
+        .map(|(name, text)| (name.clone(), sha256_hex(text.as_bytes())));
+    let of_chunks = chunks
         .iter()
-        .map(|(name, text)| (name.clone(), sha256_hex(text.as_bytes())))
-        .collect()
+        .map(|hash| (format!("{CHUNK_PREFIX}{hash}"), hash.clone()));
+    of_tree.chain(of_chunks).collect()
 }
 
 fn insert(blobs: &mut BTreeMap<String, String>, name: String, value: &Value) -> Result<()> {
--- a/crates/burdock-model/src/units.rs
+++ b/crates/burdock-model/src/units.rs
@@ -87,7 +87,7 @@
         if text.chars().all(|c| c.is_ascii_digit()) {
             return Err(wrong_unit(text, expected));
         }
-        let size: bytesize::ByteSize = text.parse().map_err(|_| wrong_unit(text, expected))?;
+        let size: bytesize::ByteSize = text.parse().map_err(|_unparsed| wrong_unit(text, expected))?;
         Ok(Self(size.as_u64()))
     }
 }
@@ -144,7 +144,7 @@
         let expected = "a rate such as `100/s`, `30/m` or `10/h`, up to 1000000/s";
         let bad = || wrong_unit(text, expected);
         let (number, unit) = text.split_once('/').ok_or_else(bad)?;
-        let number: f64 = number.trim().parse().map_err(|_| bad())?;
+        let number: f64 = number.trim().parse().map_err(|_unparsed| bad())?;
         let seconds = match unit.trim() {
             "s" => 1.0,
             "m" => 60.0,
--- /dev/null
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -0,0 +1,143 @@
+@0xc5a1f0e2b7d94613;
+# The protocol between instances. Fields are only ever added; `protocolVersion` in Hello tells which are used.
+
+struct Life {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Hello {
+  protocolVersion @0 :UInt16;
+  life @1 :Life;
+  region @2 :Text;
+  zone @3 :Text;
+}
+
+struct Heartbeat {
+  idHash @0 :UInt64;
+  incarnation @1 :UInt64;
+  heartbeat @2 :UInt64;
+  leaving @3 :Bool;
+  changePending @4 :Bool;
+}
+
+struct BackendLoad {
+  id @0 :Text;
+  inFlight @1 :UInt32;
+  ageMs @2 :UInt32;
+  accepting @3 :Bool;
+}
+
+struct Strike {
+  fingerprint @0 :UInt64;
+  backend @1 :Text;
+  ageMs @2 :UInt32;
+}
+
+struct Succession {
+  left @0 :Life;
+  successor @1 :Life;
+}
+
+struct Exchange {
+  sender @0 :Life;
+  heartbeats @1 :List(Heartbeat);
+  revision @2 :UInt64;
+  # Age of the newest confirmation of the store's state; the largest value for never.
+  storeAgeMs @3 :UInt32;
+  # Hash over the versions of all share records that the sender holds.
+  sharesDigest @4 :UInt64;
+  loadPerMille @5 :UInt32;
+  loads @6 :List(BackendLoad);
+  strikes @7 :List(Strike);
+  successions @8 :List(Succession);
+}
+
+struct Blob {
+  name @0 :Text;
+  text @1 :Text;
+}
+
+struct Configuration {
+  # The head as JSON, and the blobs that were asked for.
+  head @0 :Text;
+  headVersion @1 :UInt64;
+  blobs @2 :List(Blob);
+}
+
+struct ShareBucket {
+  bucket @0 :UInt32;
+  version @1 :UInt64;
+  # The records as JSON.
+  records @2 :Text;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+struct RelayedRequest {
+  organisation @0 :Text;
+  method @1 :Text;
+  target @2 :Text;
+  host @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  idempotencyKey @6 :Text;
+  remainingMs @7 :UInt32;
+  traceparent @8 :Text;
+  requestId @9 :Text;
+  owner @10 :Life;
+}
+
+struct Refusal {
+  kind @0 :Text;
+  detail @1 :Text;
+}
+
+struct RelayedAnswer {
+  union {
+    refusal @0 :Refusal;
+    answer @1 :WholeAnswer;
+  }
+}
+
+struct WholeAnswer {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+}
+
+struct OnceRecord {
+  key @0 :Data;
+  fingerprint @1 :UInt64;
+  ageMs @2 :UInt32;
+  union {
+    unknown @3 :Void;
+    finished @4 :WholeAnswer;
+  }
+}
+
+struct Loan {
+  granted @0 :UInt32;
+  left @1 :UInt32;
+  refused @2 :Bool;
+}
+
+interface Peer {
+  hello @0 (hello :Hello) -> (hello :Hello);
+  exchange @1 (exchange :Exchange) -> (exchange :Exchange);
+  # Blobs that the caller lacks are named; with none named only the head is sent.
+  configuration @2 (blobs :List(Text)) -> (configuration :Configuration);
+  # A newer head exists.
+  headChanged @3 (revision :UInt64) -> ();
+  # A change is about to be written. The answer is a promise to treat contact as lost until it is settled.
+  announceChange @4 (change :Text) -> (promised :Bool);
+  shares @5 () -> (buckets :List(ShareBucket));
+  # The versions of share records that the holder acts on, for one bucket as JSON.
+  actingShares @6 (bucket :UInt32) -> (versions :Text);
+  lend @7 (organisation :Text, wanted :UInt32) -> (loan :Loan);
+  relay @8 (request :RelayedRequest) -> (answer :RelayedAnswer);
+  handOver @9 (left :List(Life), records :List(OnceRecord)) -> (taken :Bool);
+}
--- /dev/null
+++ b/crates/burdock-wire/src/messages.rs
@@ -0,0 +1,166 @@
+//! The messages between instances as plain structs.
+
+use std::net::SocketAddr;
+
+use burdock_model::error::{Error, ErrorKind};
+use burdock_model::fleet::{BackendLoad, Heartbeat, Strike, Succession};
+use burdock_model::ids::{InstanceId, Life, RegionName, Revision, ZoneName};
+
+/// The version of the protocol that this program speaks. Another version is refused at the hello.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// The largest message, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 32 << 20;
+
+/// Where another instance is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerAddress {
+    /// Its id.
+    pub id: InstanceId,
+    /// Its address for other instances.
+    pub address: SocketAddr,
+}
+
+/// The first message each way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// The sender's life.
+    pub life: Life,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+/// What two instances tell each other in each round.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Exchange {
+    /// Who tells.
+    pub sender: Life,
+    /// Heartbeats it knows, its own among them.
+    pub heartbeats: Vec<Heartbeat>,
+    /// The revision it has in force.
+    pub revision: Revision,
+    /// Age in milliseconds of the newest confirmation of the store's state; `None` for never.
+    pub store_age_ms: Option<u32>,
+    /// Hash over the versions of all share records it holds.
+    pub shares_digest: u64,
+    /// Thousandths of what it can carry that it carries.
+    pub load_per_mille: u32,
+    /// Load reports of backend servers.
+    pub loads: Vec<BackendLoad>,
+    /// Crashes of backend servers.
+    pub strikes: Vec<Strike>,
+    /// Instances that left, with their successors.
+    pub successions: Vec<Succession>,
+}
+
+/// A head with some of its blobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Configuration {
+    /// The head as JSON; empty when the sender has none.
+    pub head: String,
+    /// The store's version of the head.
+    pub head_version: u64,
+    /// Blobs by name and text.
+    pub blobs: Vec<(String, String)>,
+}
+
+/// The share records of one bucket of organisations.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareBucket {
+    /// The bucket.
+    pub bucket: u32,
+    /// The store's version.
+    pub version: u64,
+    /// The records as JSON.
+    pub records: String,
+}
+
+/// A request that another instance is to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayedRequest {
+    /// The organisation its key belongs to.
+    pub organisation: String,
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The host it was sent to.
+    pub host: String,
+    /// Headers for the backend server.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+    /// Its idempotency key.
+    pub idempotency_key: String,
+    /// Milliseconds until its deadline.
+    pub remaining_ms: u32,
+    /// Trace context.
+    pub traceparent: String,
+    /// Its request id.
+    pub request_id: String,
+    /// The life that owns the key.
+    pub owner: Life,
+}
+
+/// A whole answer of a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// What an owner knew of one idempotency key, as it goes to the successor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OnceRecord {
+    /// Hash that stands for the key.
+    pub key: [u8; 16],
+    /// Hash of the request.
+    pub fingerprint: u64,
+    /// Age in milliseconds.
+    pub age_ms: u32,
+    /// The answer, or `None` when whether it ran is unknown.
+    pub answer: Option<WholeAnswer>,
+}
+
+/// An answer to a request for tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Loan {
+    /// Whole tokens that now belong to the asker.
+    pub granted: u32,
+    /// Whole tokens left with the lender.
+    pub left: u32,
+    /// The lender holds no share of the organisation, or may not serve.
+    pub refused: bool,
+}
+
+/// Why a call to another instance failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// The call was not sent: no connection, or too many calls wait already.
+    NotSent(String),
+    /// The call was sent and no answer came.
+    Lost(String),
+}
+
+impl PeerError {
+    /// Whether the other instance certainly did not see the call.
+    #[must_use]
+    pub const fn is_not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_))
+    }
+}
+
+impl From<PeerError> for Error {
+    fn from(e: PeerError) -> Self {
+        match e {
+            PeerError::NotSent(detail) => Self::new(ErrorKind::NoBackend, detail),
+            PeerError::Lost(detail) => Self::new(ErrorKind::OwnerGone, detail),
+        }
+    }
+}
