--- a/crates/burdock-ctl/src/main.rs
+++ b/crates/burdock-ctl/src/main.rs
@@ -1,1 +1,3 @@
+//! The operators' command line.
+
 fn main() {}
--- a/crates/burdock-decide/src/admit.rs
+++ b/crates/burdock-decide/src/admit.rs
@@ -2,8 +2,29 @@
 
 use std::collections::VecDeque;
 
+use crate::pick::{BackendView, estimated_in_flight};
 use crate::time::Time;
 
+/// Requests that may be at a backend server for each of its slots, those that wait there included.
+const WORK_PER_SLOT: u32 = 2;
+
+/// How many requests one instance may run: what others leave free by the newest reports, but at least its
+/// even part of the whole, so that old reports starve nobody.
+#[must_use]
+pub fn running_limit<'a>(
+    backends: impl Iterator<Item = &'a BackendView>,
+    senders: usize,
+    now: Time,
+) -> usize {
+    let senders = u32::try_from(senders.max(1)).unwrap_or(u32::MAX);
+    let part = |backend: &BackendView| {
+        let room = backend.slots * WORK_PER_SLOT;
+        let others = estimated_in_flight(backend, now).saturating_sub(backend.own_in_flight);
+        room.saturating_sub(others).max(room.div_ceil(senders))
+    };
+    backends.map(part).sum::<u32>() as usize
+}
+
 /// Identifies a waiting request within one queue.
 pub type Ticket = u64;
 
@@ -39,7 +60,7 @@
 
 #[derive(Debug)]
 struct Lane {
-    organisation: usize,
+    organisation: u64,
     weight: u32,
     credit: u32,
     waiting: VecDeque<(Ticket, Time)>,
@@ -72,6 +93,12 @@
         self.running
     }
 
+    /// Requests that may run.
+    #[must_use]
+    pub const fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Requests that wait.
     #[must_use]
     pub const fn waiting(&self) -> usize {
@@ -84,7 +111,7 @@
     }
 
     /// A request of an organisation asks to run; it gives up at its deadline.
-    pub fn enter(&mut self, organisation: usize, weight: u32, deadline: Time) -> Entry {
+    pub fn enter(&mut self, organisation: u64, weight: u32, deadline: Time) -> Entry {
         if self.running < self.limit && self.waiting == 0 {
             self.running += 1;
             return Entry::Run;
@@ -141,7 +168,7 @@
         false
     }
 
-    fn push(&mut self, organisation: usize, weight: u32, deadline: Time) -> Ticket {
+    fn push(&mut self, organisation: u64, weight: u32, deadline: Time) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         self.waiting += 1;
--- a/crates/burdock-decide/src/limit.rs
+++ b/crates/burdock-decide/src/limit.rs
@@ -12,6 +12,9 @@
 /// Parts of a whole share.
 pub const SHARE_WHOLE: u64 = 1_000_000;
 
+/// How long borrowed tokens may be used. What is left then is lost, so that lending adds no burst.
+pub const LOAN_TIME: Duration = Duration::from_millis(200);
+
 /// How long a holder that had nothing to lend is not asked again.
 pub const LENDER_REST: Duration = Duration::from_millis(50);
 
@@ -54,6 +57,8 @@
     allotment: Allotment,
     tokens: u64,
     filled: Time,
+    borrowed: u32,
+    borrowed_until: Time,
 }
 
 impl Bucket {
@@ -64,6 +69,8 @@
             allotment,
             tokens: 0,
             filled: now,
+            borrowed: 0,
+            borrowed_until: now,
         }
     }
 
@@ -85,6 +92,10 @@
     /// assert!(!bucket.take(Time::from_millis(500)));
     /// ```
     pub fn take(&mut self, now: Time) -> bool {
+        if self.borrowed > 0 && now < self.borrowed_until {
+            self.borrowed -= 1;
+            return true;
+        }
         self.refill(now);
         if self.tokens < TOKEN {
             return false;
@@ -110,6 +121,17 @@
         given
     }
 
+    /// Adds tokens that another holder gave away. They can't be lent on.
+    pub fn borrow(&mut self, tokens: u32, now: Time) {
+        let kept = if now < self.borrowed_until {
+            self.borrowed
+        } else {
+            0
+        };
+        self.borrowed = kept + tokens;
+        self.borrowed_until = now + LOAN_TIME;
+    }
+
     /// How long until the next whole token at this allotment; `None` for never.
     pub fn next_token(&mut self, now: Time) -> Option<Duration> {
         self.refill(now);
--- a/crates/burdock-decide/src/membership.rs
+++ b/crates/burdock-decide/src/membership.rs
@@ -4,7 +4,7 @@
 
 use burdock_model::fleet::Heartbeat;
 use burdock_model::hash::{ranked, stable};
-use burdock_model::ids::{Incarnation, InstanceId, RegionName, ZoneName};
+use burdock_model::ids::{Incarnation, InstanceId, RegionName, Revision, ZoneName};
 
 use crate::time::Time;
 
@@ -43,8 +43,14 @@
     pub incarnation: Incarnation,
     /// The newest heartbeat of that life.
     pub heartbeat: u64,
-    /// When that heartbeat was first heard of.
+    /// When its newest heartbeat was made, as early as any message tells.
     pub heard: Time,
+    /// When its latest life was first heard of.
+    pub life_began: Time,
+    /// As `heard`, but from answers to own questions only, which a pause of this process can't make look new.
+    pub confirmed: Option<Time>,
+    /// The revision it had in force.
+    pub revision: Revision,
     /// It has said that it is leaving, or the platform's list says so.
     pub leaving: bool,
     /// The platform's list holds it.
@@ -85,6 +91,15 @@
     stable(id.as_str().as_bytes(), 0)
 }
 
+/// How a heartbeat came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// In a message that another instance sent on its own, which arrived now.
+    Told(Time),
+    /// In the answer to a question that was sent at this time.
+    Answered(Time),
+}
+
 /// Takes in a heartbeat. Returns whether it was news. A lower incarnation never replaces a higher one.
 ///
 /// ```
@@ -95,24 +110,40 @@
 /// let mut member = Member {
 ///     id: InstanceId::new("a").unwrap(), region: RegionName::new("r").unwrap(),
 ///     zone: ZoneName::new("z").unwrap(), incarnation: Incarnation(2), heartbeat: 5,
-///     heard: Time(0), leaving: false, listed: true, change_pending: false,
+///     heard: Time(0), life_began: Time(0), confirmed: None, revision: Revision(1), leaving: false, listed: true,
+///     change_pending: false,
 /// };
 /// let beat = Heartbeat { id_hash: id_hash(&member.id), incarnation: Incarnation(1), heartbeat: 9, leaving: false,
-///     change_pending: false };
-/// assert!(!observe(&mut member, &beat, Time(10)));
-/// assert!(observe(&mut member, &Heartbeat { incarnation: Incarnation(3), ..beat }, Time(10)));
+///     change_pending: false, age_ms: 0, revision: Revision(1) };
+/// assert!(!observe(&mut member, &beat, Source::Told(Time(10))));
+/// let newer = Heartbeat { incarnation: Incarnation(3), ..beat };
+/// assert!(observe(&mut member, &newer, Source::Answered(Time(10))));
+/// assert_eq!(member.confirmed, Some(Time(10)));
 /// ```
-pub fn observe(member: &mut Member, beat: &Heartbeat, now: Time) -> bool {
-    let newer = (beat.incarnation, beat.heartbeat) > (member.incarnation, member.heartbeat);
-    if !newer {
+pub fn observe(member: &mut Member, beat: &Heartbeat, source: Source) -> bool {
+    let theirs = (beat.incarnation, beat.heartbeat);
+    let ours = (member.incarnation, member.heartbeat);
+    if theirs < ours {
+        return false;
+    }
+    let age = Duration::from_millis(u64::from(beat.age_ms));
+    if let Source::Answered(asked) = source {
+        member.confirmed = member.confirmed.max(Some(asked - age));
+    }
+    if theirs == ours {
         return false;
     }
     if beat.incarnation > member.incarnation {
         member.leaving = false;
     }
+    let (Source::Told(at) | Source::Answered(at)) = source;
+    if beat.incarnation > member.incarnation {
+        member.life_began = at;
+    }
+    member.heard = member.heard.max(at - age);
     member.incarnation = beat.incarnation;
     member.heartbeat = beat.heartbeat;
-    member.heard = now;
+    member.revision = beat.revision;
     member.leaving |= beat.leaving;
     member.change_pending = beat.change_pending;
     true
@@ -175,11 +206,11 @@
 /// Half of a full message goes to the newest, the other half walks over the rest, so that no member's
 /// heartbeat is left behind in a large fleet.
 #[must_use]
-pub fn digest(members: &[Member], draw: u64) -> Vec<Heartbeat> {
+pub fn digest(members: &[Member], draw: u64, now: Time) -> Vec<Heartbeat> {
     let mut known: Vec<&Member> = members.iter().filter(|m| m.incarnation.0 > 0).collect();
-    known.sort_by_key(|m| std::cmp::Reverse(m.heard));
     if known.len() > MAX_DIGEST {
         let newest = MAX_DIGEST / 2;
+        known.select_nth_unstable_by_key(newest - 1, |m| std::cmp::Reverse(m.heard));
         let rest = known.len() - newest;
         let start = usize::try_from(draw % rest as u64).unwrap_or(0);
         let walk: Vec<&Member> = (0..MAX_DIGEST - newest)
@@ -188,15 +219,17 @@
         known.truncate(newest);
         known.extend(walk);
     }
-    known.into_iter().map(heartbeat_of).collect()
+    known.into_iter().map(|m| heartbeat_of(m, now)).collect()
 }
 
-fn heartbeat_of(member: &Member) -> Heartbeat {
+fn heartbeat_of(member: &Member, now: Time) -> Heartbeat {
     Heartbeat {
         id_hash: id_hash(&member.id),
         incarnation: member.incarnation,
         heartbeat: member.heartbeat,
         leaving: member.leaving,
         change_pending: member.change_pending,
+        age_ms: u32::try_from(now.since(member.heard).as_millis()).unwrap_or(u32::MAX),
+        revision: member.revision,
     }
 }
--- a/crates/burdock-model/src/error.rs
+++ b/crates/burdock-model/src/error.rs
@@ -47,6 +47,8 @@
     IdempotencyKeyMissing,
     /// The body is longer than the limit.
     TooLarge,
+    /// The body broke off or passed its limit after part of it was sent on.
+    BodyCut,
     /// The request crashed backend servers and is held back.
     Quarantined,
     /// The organisation is over its rate.
@@ -104,7 +106,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::BadRequest,
         Self::KeyRefused,
         Self::RouteForbidden,
@@ -112,6 +114,7 @@
         Self::IdempotencyKeyReused,
         Self::IdempotencyKeyMissing,
         Self::TooLarge,
+        Self::BodyCut,
         Self::Quarantined,
         Self::OverRate,
         Self::BadAnswer,
@@ -154,6 +157,7 @@
             }
             Self::IdempotencyKeyMissing => answer(400, NOT, "Idempotency key malformed", None, 2),
             Self::TooLarge => answer(413, NOT, "Body too large", None, 2),
+            Self::BodyCut => answer(400, MAY, "Body broke off or passed its limit", None, 2),
             Self::Quarantined => answer(422, NOT, "Request held back after crashes", Some(60), 6),
             Self::OverRate => answer(429, NOT, "Over the organisation's rate", Some(1), 6),
             Self::BadAnswer => answer(502, MAY, "Backend server's answer broken", None, 7),
--- a/crates/burdock-model/src/fleet.rs
+++ b/crates/burdock-model/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What instances tell each other about themselves and about backend servers.
 
-use crate::ids::{BackendId, Incarnation, Life};
+use crate::ids::{BackendId, Incarnation, Life, Revision, ServiceName};
 
 /// One heartbeat as it passes from instance to instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,10 @@
     pub leaving: bool,
     /// It knows of a configuration change that is not settled.
     pub change_pending: bool,
+    /// How long ago its origin made it, in milliseconds, at most.
+    pub age_ms: u32,
+    /// The revision that its origin had in force.
+    pub revision: Revision,
 }
 
 /// A load report of a backend server, as it passes from instance to instance.
@@ -49,3 +53,12 @@
     /// The one that answers for it.
     pub successor: Life,
 }
+
+/// How an instance splits a service's traffic over regions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Split {
+    /// The service.
+    pub service: ServiceName,
+    /// Parts of a million, one for each region of the service in order of name.
+    pub per_million: Vec<u32>,
+}
--- a/crates/burdock-model/src/hash.rs
+++ b/crates/burdock-model/src/hash.rs
@@ -46,3 +46,10 @@
 pub fn sha256_hex(bytes: &[u8]) -> String {
     hex::encode(sha256(bytes))
 }
+
+/// Whether two secrets are the same, in a time that does not depend on where they differ.
+#[must_use]
+pub fn same_secret(a: &str, b: &str) -> bool {
+    use subtle::ConstantTimeEq;
+    sha256(a.as_bytes()).ct_eq(&sha256(b.as_bytes())).into()
+}
--- /dev/null
+++ b/crates/burdock-node/src/admin/blocks.rs
@@ -0,0 +1,87 @@
+//! Client blocks: cut into compressed chunks that fit the store.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use burdock_model::blocks::BlockTable;
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::hash::stable;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+
+/// Blocks in one chunk on average.
+const BLOCKS_PER_CHUNK: usize = 20_000;
+
+/// The largest chunk when unpacked, in bytes.
+const MAX_UNPACKED_BYTES: u64 = 64 << 20;
+
+/// Cuts the lines of a block file into chunks. Lines of one network stay in one chunk, so that a change
+/// of a few lines changes few chunks.
+///
+/// # Errors
+/// [`ErrorKind::InvalidTree`] or [`ErrorKind::TooLarge`] for what a block table refuses.
+pub fn pack(text: &str) -> Result<Vec<String>> {
+    let table = BlockTable::parse([text])?;
+    let chunks = table.len().div_ceil(BLOCKS_PER_CHUNK).next_power_of_two() as u64;
+    let mut parts: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
+    for line in text
+        .lines()
+        .map(str::trim)
+        .filter(|l| !l.is_empty() && !l.starts_with('#'))
+    {
+        parts
+            .entry(stable(network(line).as_bytes(), 12) % chunks)
+            .or_default()
+            .push(line);
+    }
+    parts.into_values().map(|lines| compress(&lines)).collect()
+}
+
+/// The table of packed chunks.
+///
+/// # Errors
+/// [`ErrorKind::InvalidTree`] when a chunk is malformed.
+pub fn table<'a>(chunks: impl Iterator<Item = &'a str>) -> Result<BlockTable> {
+    let texts = chunks.map(unpack).collect::<Result<Vec<String>>>()?;
+    BlockTable::parse(texts.iter().map(String::as_str))
+}
+
+fn compress(lines: &[&str]) -> Result<String> {
+    let failed = |e: std::io::Error| Error::new(ErrorKind::Internal, e.to_string());
+    let mut sorted = lines.to_vec();
+    sorted.sort_unstable();
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::default());
+    for line in sorted {
+        writeln!(encoder, "{line}").map_err(failed)?;
+    }
+    Ok(STANDARD.encode(encoder.finish().map_err(failed)?))
+}
+
+fn unpack(chunk: &str) -> Result<String> {
+    let malformed = |detail: String| {
+        Error::new(
+            ErrorKind::InvalidTree,
+            format!("chunk of client blocks: {detail}"),
+        )
+    };
+    let packed = STANDARD.decode(chunk).map_err(|e| malformed(e.to_string()))?;
+    let mut text = String::new();
+    let mut decoder = ZlibDecoder::new(packed.as_slice()).take(MAX_UNPACKED_BYTES);
+    decoder
+        .read_to_string(&mut text)
+        .map_err(|e| malformed(e.to_string()))?;
+    Ok(text)
+}
+
+// The first two parts of an address: neighbours change together.
+fn network(line: &str) -> &str {
+    let separator = if line.contains(':') { ':' } else { '.' };
+    let end = line
+        .match_indices(separator)
+        .nth(1)
+        .map_or(line.len(), |(at, _)| at);
+    &line[..end]
+}
--- /dev/null
+++ b/crates/burdock-node/src/admin/explain.rs
@@ -0,0 +1,67 @@
+//! Explaining what would happen to a request.
+
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::resolve::{Scope, resolve};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::in_force::InForce;
+
+/// What is asked.
+#[derive(Debug, Deserialize)]
+pub struct Question {
+    /// The organisation.
+    #[serde(default)]
+    pub organisation: Option<String>,
+    /// The path.
+    pub path: String,
+    /// The host.
+    #[serde(default)]
+    pub host: Option<String>,
+    /// The method.
+    #[serde(default = "get")]
+    pub method: String,
+}
+
+/// The route, policy and backend servers for a request, with the level that each setting comes from.
+///
+/// # Errors
+/// [`ErrorKind::NoRoute`] and [`ErrorKind::NoSuchPath`].
+pub fn explain(in_force: &InForce, question: &Question) -> Result<Value> {
+    let snapshot = &in_force.snapshot;
+    let route_ix = snapshot
+        .route(question.host.as_deref(), &question.path)
+        .ok_or_else(|| Error::new(ErrorKind::NoRoute, format!("no route for `{}`", question.path)))?;
+    let route = &snapshot.routes[route_ix];
+    let service = &in_force.services[route.service];
+    let organisation = match &question.organisation {
+        None => None,
+        Some(name) => Some(
+            snapshot
+                .organisation_named(name)
+                .ok_or_else(|| Error::new(ErrorKind::NoSuchPath, format!("no organisation `{name}`")))?,
+        ),
+    };
+    let name = organisation.map(|ix| &snapshot.organisations[ix].name);
+    let scope = Scope {
+        organisation: name,
+        service: Some(&service.name),
+        route: Some(&route.name),
+    };
+    let policy = snapshot.policy(organisation, route_ix);
+    Ok(json!({
+        "service": service.name,
+        "route": route.name,
+        "prefix": route.prefix,
+        "open": route.open,
+        "repeatable": route.is_repeatable(&question.method),
+        "allowed": policy.allow,
+        "settings": resolve(&snapshot.tree, scope),
+        "regions": service.regions.iter().map(|r| &r.name).collect::<Vec<_>>(),
+        "split": service.split.load().parts,
+    }))
+}
+
+fn get() -> String {
+    "GET".to_owned()
+}
--- /dev/null
+++ b/crates/burdock-node/src/admin/router.rs
@@ -0,0 +1,435 @@
+//! Routes of the operators' API.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::error_handling::HandleErrorLayer;
+use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post, put};
+use axum::{Extension, Json, Router};
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::ids::{BackendId, ChangeId, KeyId, OrganisationName, RegionName, ZoneName};
+use burdock_model::key::{hash_of, issue};
+use burdock_model::resolve::{Scope, resolve};
+use burdock_model::treepath::{self, Edit, tag};
+use burdock_platform::config::write_blob;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, ETAG, IF_MATCH};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tower::{BoxError, ServiceBuilder};
+
+use crate::admin::change::{Wish, make, preview};
+use crate::admin::explain::{Question, explain};
+use crate::admin::{blocks, status};
+use crate::node::Node;
+
+/// Requests at a time.
+const MAX_REQUESTS: usize = 32;
+
+/// The longest that a request may take.
+const TIME_LIMIT: Duration = Duration::from_secs(20);
+
+/// The largest body, in bytes: a file of client blocks.
+const MAX_BODY_BYTES: usize = 128 << 20;
+
+/// The API's description.
+const OPENAPI: &str = include_str!("openapi.json");
+
+type Shared = State<Arc<Node>>;
+type Who = Extension<Operator>;
+
+/// The operator that a token belongs to.
+#[derive(Clone, Debug)]
+pub struct Operator(String);
+
+/// A failure as a problem document.
+struct Problem(Error);
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let answer = self.0.kind.answer();
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = [
+            (CONTENT_TYPE, HeaderValue::from_static("application/problem+json")),
+            (
+                crate::entry::answer::OUTCOME,
+                HeaderValue::from_static(answer.outcome.as_str()),
+            ),
+        ];
+        (status, headers, self.0.problem().to_string()).into_response()
+    }
+}
+
+impl From<Error> for Problem {
+    fn from(e: Error) -> Self {
+        Self(e)
+    }
+}
+
+type Answer<T> = std::result::Result<T, Problem>;
+
+#[derive(Debug, Default, Deserialize)]
+struct TreeQuery {
+    #[serde(default)]
+    resolved: bool,
+    #[serde(default)]
+    dry_run: bool,
+}
+
+/// What a drain is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum DrainKind {
+    /// A backend server.
+    Backend,
+    /// An availability zone.
+    Zone,
+    /// A region.
+    Region,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    kind: DrainKind,
+    name: String,
+}
+
+/// The API of an instance.
+#[must_use]
+pub fn router(node: &Arc<Node>) -> Router {
+    // Beyond its room the API refuses at once rather than queueing.
+    let guard = ServiceBuilder::new()
+        .layer(HandleErrorLayer::new(async |_: BoxError| {
+            Problem(Error::from(ErrorKind::Overloaded))
+        }))
+        .load_shed()
+        .concurrency_limit(MAX_REQUESTS)
+        .timeout(TIME_LIMIT);
+    Router::new()
+        .route("/v1/tree", get(read_root).put(put_root).patch(patch_root))
+        .route("/v1/tree/", get(read_root).put(put_root).patch(patch_root))
+        .route(
+            "/v1/tree/{*path}",
+            get(read).put(replace).patch(merge).delete(remove),
+        )
+        .route("/v1/organisations/{organisation}/keys", post(issue_key))
+        .route("/v1/organisations/{organisation}/keys/{id}", delete(withdraw_key))
+        .route("/v1/drains", post(drain))
+        .route("/v1/drains/{kind}/{name}", delete(undrain))
+        .route("/v1/blocks", put(put_blocks))
+        .route(
+            "/v1/status",
+            get(async |State(node): Shared| Json(status::status(&node))),
+        )
+        .route("/v1/changes/{id}", get(read_change))
+        .route("/v1/explain", get(read_explanation))
+        .layer(from_fn_with_state(Arc::clone(node), authenticate))
+        .route(
+            "/v1/openapi.json",
+            get(async || ([(CONTENT_TYPE, "application/json")], OPENAPI)),
+        )
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(guard)
+        .with_state(Arc::clone(node))
+}
+
+async fn authenticate(State(node): Shared, mut req: Request, next: Next) -> Response {
+    match operator(&node, req.headers()) {
+        Some(operator) => {
+            req.extensions_mut().insert(operator);
+            next.run(req).await
+        }
+        None => Problem(
+            Error::from(ErrorKind::OperatorRefused)
+                .hint("send `Authorization: Bearer TOKEN` with a token of `operators`"),
+        )
+        .into_response(),
+    }
+}
+
+// Every token is compared, so that the time taken tells nothing.
+fn operator(node: &Node, headers: &HeaderMap) -> Option<Operator> {
+    let presented = headers
+        .get(AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")?;
+    let matches = |token: &str| burdock_model::hash::same_secret(presented, token);
+    let found: Vec<&String> = node
+        .settings
+        .operators
+        .iter()
+        .filter(|(_, token)| matches(token))
+        .map(|(name, _)| name)
+        .collect();
+    found.first().map(|name| Operator((*name).clone()))
+}
+
+async fn read_root(state: Shared, query: Query<TreeQuery>) -> Answer<Response> {
+    read(state, Path(String::new()), query).await
+}
+
+async fn read(
+    State(node): Shared,
+    Path(path): Path<String>,
+    Query(query): Query<TreeQuery>,
+) -> Answer<Response> {
+    if query.resolved {
+        return Ok(Json(resolved(&node, &path)?).into_response());
+    }
+    let tree = node.config.tree()?;
+    let value = treepath::get(&tree, &path)?;
+    let headers = [(ETAG, format!("\"{}\"", tag(value)))];
+    Ok((headers, Json(value.clone())).into_response())
+}
+
+// `organisations/O[/services/S[/routes/R]]`, or the fleet for an empty path.
+fn resolved(node: &Node, path: &str) -> Result<Value> {
+    let in_force = node.in_force.load();
+    let tree = &in_force.snapshot.tree;
+    let names: Vec<&str> = path.split('/').filter(|s| !s.is_empty()).collect();
+    let (organisation, service, route) = match names[..] {
+        [] => (None, None, None),
+        ["organisations", o] => (Some(o), None, None),
+        ["organisations", o, "services", s] => (Some(o), Some(s), None),
+        ["organisations", o, "services", s, "routes", r] => (Some(o), Some(s), Some(r)),
+        _ => {
+            return Err(Error::new(
+                ErrorKind::NoSuchPath,
+                format!("`{path}` is not a level of the tree"),
+            )
+            .hint("name `organisations/O`, `.../services/S` or `.../routes/R`"));
+        }
+    };
+    if organisation.is_some_and(|o| !tree.organisations.contains_key(o)) {
+        return Err(Error::new(ErrorKind::NoSuchPath, format!("nothing at `{path}`")));
+    }
+    let organisation = organisation.map(OrganisationName::new).transpose()?;
+    let service = service.map(burdock_model::ids::ServiceName::new).transpose()?;
+    let route = route.map(burdock_model::ids::RouteName::new).transpose()?;
+    let scope = Scope {
+        organisation: organisation.as_ref(),
+        service: service.as_ref(),
+        route: route.as_ref(),
+    };
+    serde_json::to_value(resolve(tree, scope)).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
+}
+
+async fn put_root(
+    state: Shared,
+    who: Who,
+    query: Query<TreeQuery>,
+    headers: HeaderMap,
+    body: Json<Value>,
+) -> Answer<Response> {
+    replace(state, who, Path(String::new()), query, headers, body).await
+}
+
+async fn patch_root(
+    state: Shared,
+    who: Who,
+    query: Query<TreeQuery>,
+    headers: HeaderMap,
+    body: Json<Value>,
+) -> Answer<Response> {
+    merge(state, who, Path(String::new()), query, headers, body).await
+}
+
+async fn replace(
+    State(node): Shared,
+    who: Who,
+    Path(path): Path<String>,
+    Query(query): Query<TreeQuery>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Answer<Response> {
+    edit(&node, &who, &path, Edit::Put(body), &query, &headers).await
+}
+
+async fn merge(
+    State(node): Shared,
+    who: Who,
+    Path(path): Path<String>,
+    Query(query): Query<TreeQuery>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Answer<Response> {
+    edit(&node, &who, &path, Edit::Merge(body), &query, &headers).await
+}
+
+async fn remove(
+    State(node): Shared,
+    who: Who,
+    Path(path): Path<String>,
+    Query(query): Query<TreeQuery>,
+    headers: HeaderMap,
+) -> Answer<Response> {
+    edit(&node, &who, &path, Edit::Delete, &query, &headers).await
+}
+
+async fn edit(
+    node: &Arc<Node>,
+    who: &Operator,
+    path: &str,
+    edit: Edit,
+    query: &TreeQuery,
+    headers: &HeaderMap,
+) -> Answer<Response> {
+    let if_match = headers.get(IF_MATCH).and_then(|v| v.to_str().ok());
+    let wish = Wish {
+        operator: &who.0,
+        path,
+        edit,
+        if_match,
+        rebase: false,
+    };
+    if query.dry_run {
+        return Ok(Json(preview(node, &wish).await?).into_response());
+    }
+    Ok(Json(make(node, &wish).await?).into_response())
+}
+
+async fn issue_key(
+    State(node): Shared,
+    Extension(who): Who,
+    Path(organisation): Path<String>,
+) -> Answer<Response> {
+    let organisation = OrganisationName::new(&organisation)?;
+    let tree = node.config.tree()?;
+    treepath::get(&tree, &format!("organisations/{organisation}"))?;
+    let id = KeyId::new(&format!("{:012x}", rand::random::<u64>() >> 16))?;
+    let secret: [u8; 32] = rand::random();
+    let path = format!("organisations/{organisation}/keys/{id}");
+    let value = json!({"hash": hex::encode(hash_of(&secret))});
+    let wish = Wish {
+        operator: &who.0,
+        path: &path,
+        edit: Edit::Put(value),
+        if_match: None,
+        rebase: true,
+    };
+    let accepted = make(&node, &wish).await?;
+    let body = json!({
+        "id": id, "key": issue(&id, &secret), "change": accepted.change, "revision": accepted.revision,
+    });
+    Ok((StatusCode::CREATED, Json(body)).into_response())
+}
+
+async fn withdraw_key(
+    State(node): Shared,
+    Extension(who): Who,
+    Path((organisation, id)): Path<(String, String)>,
+) -> Answer<Response> {
+    let path = format!("organisations/{organisation}/keys/{id}");
+    let wish = Wish {
+        operator: &who.0,
+        path: &path,
+        edit: Edit::Delete,
+        if_match: None,
+        rebase: true,
+    };
+    Ok(Json(make(&node, &wish).await?).into_response())
+}
+
+async fn drain(State(node): Shared, Extension(who): Who, Json(body): Json<DrainBody>) -> Answer<Response> {
+    set_drain(&node, &who, body.kind, &body.name, true).await
+}
+
+async fn undrain(
+    State(node): Shared,
+    Extension(who): Who,
+    Path((kind, name)): Path<(DrainKind, String)>,
+) -> Answer<Response> {
+    set_drain(&node, &who, kind, &name, false).await
+}
+
+async fn set_drain(
+    node: &Arc<Node>,
+    who: &Operator,
+    kind: DrainKind,
+    name: &str,
+    wanted: bool,
+) -> Answer<Response> {
+    let path = match kind {
+        DrainKind::Backend => "drains/backends",
+        DrainKind::Zone => "drains/zones",
+        DrainKind::Region => "drains/regions",
+    };
+    check_drain(node, kind, name)?;
+    let tree = node.config.tree()?;
+    let present = treepath::get(&tree, path)
+        .ok()
+        .and_then(Value::as_array)
+        .cloned()
+        .unwrap_or_default();
+    let mut list: Vec<Value> = present
+        .iter()
+        .filter(|v| v.as_str() != Some(name))
+        .cloned()
+        .collect();
+    if wanted {
+        list.push(json!(name));
+    }
+    // The tag keeps another operator's drain in the same list from being overwritten.
+    let before = treepath::get(&tree, path).map(tag).ok();
+    let wish = Wish {
+        operator: &who.0,
+        path,
+        edit: Edit::Put(json!(list)),
+        if_match: before.as_deref(),
+        rebase: false,
+    };
+    Ok(Json(make(node, &wish).await?).into_response())
+}
+
+fn check_drain(node: &Node, kind: DrainKind, name: &str) -> Result<()> {
+    let in_force = node.in_force.load();
+    let mut backends = in_force.snapshot.services.iter().flat_map(|s| &s.backends);
+    let known = match kind {
+        DrainKind::Backend => BackendId::new(name).is_ok_and(|id| backends.any(|b| b.id == id)),
+        DrainKind::Zone => ZoneName::new(name).is_ok_and(|zone| backends.any(|b| b.zone == zone)),
+        DrainKind::Region => RegionName::new(name).is_ok_and(|region| backends.any(|b| b.region == region)),
+    };
+    if known {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::NoSuchPath,
+        format!("no backend server is in or named `{name}`"),
+    ))
+}
+
+async fn put_blocks(State(node): Shared, Extension(who): Who, body: String) -> Answer<Response> {
+    let chunks = tokio::task::spawn_blocking(move || blocks::pack(&body)).await;
+    let chunks = chunks.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))??;
+    let held: HashMap<String, String> = node.config.head().head.manifest.into_iter().collect();
+    let mut names = Vec::new();
+    for chunk in &chunks {
+        let name = burdock_model::hash::sha256_hex(chunk.as_bytes());
+        if !held.values().any(|known| *known == name) {
+            write_blob(&node.store, chunk).await?;
+        }
+        names.push(name);
+    }
+    let wish = Wish {
+        operator: &who.0,
+        path: "blocks",
+        edit: Edit::Put(json!(names)),
+        if_match: None,
+        rebase: false,
+    };
+    Ok(Json(make(&node, &wish).await?).into_response())
+}
+
+async fn read_change(State(node): Shared, Path(id): Path<String>) -> Answer<Json<Value>> {
+    Ok(Json(status::change(&node, &ChangeId::new(&id)?)?))
+}
+
+async fn read_explanation(State(node): Shared, Query(question): Query<Question>) -> Answer<Json<Value>> {
+    Ok(Json(explain(&node.in_force.load(), &question)?))
+}
--- /dev/null
+++ b/crates/burdock-node/src/admin/status.rs
@@ -0,0 +1,140 @@
+//! What an instance tells operators of itself and of the fleet.
+
+use burdock_decide::membership::Standing;
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::ids::ChangeId;
+use serde_json::{Map, Value, json};
+
+use crate::fleet::Entry;
+use crate::in_force::ServiceState;
+use crate::node::Node;
+use crate::observe::counters::Counter;
+
+/// The state of the instance, its services and the fleet as seen from here.
+#[must_use]
+pub fn status(node: &Node) -> Value {
+    let now = node.clock.now();
+    let in_force = node.in_force.load();
+    let view = node.fleet.view();
+    let counters: Map<String, Value> = Counter::ALL
+        .iter()
+        .map(|c| (c.name().to_owned(), json!(node.counters.get(*c))))
+        .collect();
+    json!({
+        "instance": node.life.to_string(),
+        "region": node.settings.region,
+        "zone": node.settings.zone,
+        "phase": format!("{:?}", node.phase()),
+        "revision": in_force.snapshot.revision,
+        "connectivity": format!("{:?}", node.fleet.contact(now).connectivity),
+        "may_accept_changes": node.fleet.may_take_over(now),
+        "in_flight": node.in_flight(),
+        "idempotency_keys": node.once.len(),
+        "client_blocks": in_force.snapshot.blocks.len(),
+        "store_calls": node.store_calls.total(),
+        "peer_bytes_written": node.peers.bytes_written(),
+        "fleet": view.entries.iter().map(entry).collect::<Vec<_>>(),
+        "services": in_force.services.iter().map(|s| service(s, now)).collect::<Vec<_>>(),
+        "shares": shares(node),
+        "counters": counters,
+    })
+}
+
+/// Which instances have confirmed a change.
+///
+/// # Errors
+/// [`ErrorKind::NoSuchPath`] when the change is not among the latest.
+pub fn change(node: &Node, id: &ChangeId) -> Result<Value> {
+    let head = node.config.head().head;
+    let change = head.change(id).ok_or_else(|| {
+        Error::new(
+            ErrorKind::NoSuchPath,
+            format!("no change `{id}` among the latest"),
+        )
+        .hint("it was not accepted, or is long past")
+    })?;
+    let view = node.fleet.view();
+    let has = |e: &&Entry| e.revision >= change.revision;
+    let names = |entries: Vec<&Entry>| {
+        entries
+            .iter()
+            .map(|e| e.life.instance.to_string())
+            .collect::<Vec<_>>()
+    };
+    let (confirmed, waiting): (Vec<&Entry>, Vec<&Entry>) = view.entries.iter().partition(has);
+    Ok(json!({
+        "id": change.id,
+        "revision": change.revision,
+        "by": change.by,
+        "path": change.path,
+        "confirmed": names(confirmed),
+        "waiting": names(waiting),
+    }))
+}
+
+fn entry(entry: &Entry) -> Value {
+    json!({
+        "instance": entry.life.to_string(),
+        "region": entry.region,
+        "zone": entry.zone,
+        "address": entry.address,
+        "standing": match entry.standing {
+            Standing::Alive => "alive",
+            Standing::Leaving => "leaving",
+            Standing::Suspect => "suspect",
+            Standing::Gone => "gone",
+        },
+        "revision": entry.revision,
+        "load_per_mille": entry.load_per_mille,
+    })
+}
+
+fn service(service: &ServiceState, now: burdock_decide::time::Time) -> Value {
+    let split = service.split.load();
+    let load = service.admission.load();
+    let regions: Vec<Value> = service
+        .regions
+        .iter()
+        .enumerate()
+        .map(|(ix, region)| {
+            let backends: Vec<Value> = region
+                .backends
+                .iter()
+                .map(|b| {
+                    let view = b.view(now);
+                    json!({
+                        "id": b.id,
+                        "address": b.address,
+                        "open": view.open,
+                        "in_flight_from_here": view.own_in_flight,
+                        "reported_in_flight": view.reported,
+                        "report_age_ms": view.reported.map(|_| now.since(view.reported_at).as_millis()),
+                        "service_time_us": view.service_time.as_micros(),
+                        "connections": b.pool.open(),
+                    })
+                })
+                .collect();
+            json!({"region": region.name, "split_per_million": split.parts.get(ix), "backends": backends})
+        })
+        .collect();
+    json!({
+        "name": service.name,
+        "running": load.running,
+        "waiting": load.waiting,
+        "limit": load.limit,
+        "regions": regions,
+    })
+}
+
+fn shares(node: &Node) -> Value {
+    let in_force = node.in_force.load();
+    let share = |o: &burdock_model::snapshot::Organisation| {
+        let record = node.limits.records.record(&o.name)?;
+        let holders: Vec<String> = record.present.keys().map(ToString::to_string).collect();
+        Some((
+            o.name.to_string(),
+            json!({"holders": holders, "settled": record.is_settled()}),
+        ))
+    };
+    Value::Object(in_force.snapshot.organisations.iter().filter_map(share).collect())
+}
--- /dev/null
+++ b/crates/burdock-node/src/cli.rs
@@ -0,0 +1,246 @@
+//! The command line of `burdockd`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::jsonc;
+use burdock_standin::backend::BackendStandin;
+use burdock_standin::store::StoreStandin;
+
+use crate::demo::{DemoSettings, write_tree};
+use crate::observe::{logs, trace};
+use crate::settings::{InstanceSettings, LogSettings};
+use crate::shutdown::{StopSignals, shut_down};
+use crate::start::{Listeners, start};
+
+/// Threads of the runtime of everything but `run`.
+const TOOL_THREADS: usize = 4;
+
+/// Entry instance of burdockcroft, a global traffic steering system.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Run an instance.
+    #[bpaf(command)]
+    Run {
+        /// Settings file, JSON with comments
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Check a settings file, or a tree, and say what is wrong with it.
+    #[bpaf(command)]
+    Check {
+        /// Settings file, JSON with comments
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+        /// Tree file, JSON with comments
+        #[bpaf(argument("FILE"))]
+        tree: Option<PathBuf>,
+    },
+    /// Run a whole system in one process, to be tried out.
+    #[bpaf(command)]
+    Demo {
+        /// Entry instances
+        #[bpaf(argument("N"), fallback(6), display_fallback)]
+        instances: usize,
+        /// Backend servers for each service
+        #[bpaf(argument("N"), fallback(6), display_fallback)]
+        backends: usize,
+        /// Seed of keys and tokens
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// First port; 0 for any free ones
+        #[bpaf(argument("N"), fallback(0), display_fallback)]
+        port: u16,
+        /// Output: text or json
+        #[bpaf(argument("FORM"), fallback(Output::Text))]
+        output: Output,
+    },
+    /// Run a stand-in for the platform's store.
+    #[bpaf(command("standin-store"))]
+    StandinStore {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Tree to begin with, JSON with comments
+        #[bpaf(argument("FILE"))]
+        tree: Option<PathBuf>,
+    },
+    /// Run a stand-in for a backend server.
+    #[bpaf(command("standin-backend"))]
+    StandinBackend {
+        /// Its name
+        #[bpaf(argument("NAME"))]
+        name: String,
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Address for control
+        #[bpaf(argument("ADDRESS"))]
+        control: SocketAddr,
+        /// Requests it works on at once
+        #[bpaf(argument("N"), fallback(6), display_fallback)]
+        slots: u32,
+    },
+}
+
+/// How output is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+impl std::str::FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("`{other}` is neither `text` nor `json`")),
+        }
+    }
+}
+
+/// Runs the command line.
+#[must_use]
+pub fn main() -> ExitCode {
+    match execute(command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("burdockd: {e}");
+            ExitCode::from(e.kind.answer().exit_code)
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<()> {
+    match command {
+        Command::Run { settings } => run(InstanceSettings::load(&settings)?),
+        Command::Check { settings, tree } => check(settings, tree),
+        Command::Demo {
+            instances,
+            backends,
+            seed,
+            port,
+            output,
+        } => {
+            let settings = DemoSettings::default()
+                .instances(instances)
+                .backends(backends)
+                .seed(seed)
+                .port(port);
+            block_on(TOOL_THREADS, demo(settings, output))
+        }
+        Command::StandinStore { listen, tree } => block_on(TOOL_THREADS, standin_store(listen, tree)),
+        Command::StandinBackend {
+            name,
+            listen,
+            control,
+            slots,
+        } => block_on(TOOL_THREADS, standin_backend(name, listen, control, slots)),
+    }
+}
+
+fn check(settings: Option<PathBuf>, tree: Option<PathBuf>) -> Result<()> {
+    if settings.is_none() && tree.is_none() {
+        return Err(
+            Error::new(ErrorKind::InvalidSettings, "nothing to check").hint("give --settings or --tree")
+        );
+    }
+    if let Some(path) = settings {
+        let settings = InstanceSettings::load(&path)?;
+        println!("{}: settings of {} are good", path.display(), settings.instance);
+    }
+    if let Some(path) = tree {
+        let tree =
+            burdock_model::tree::Tree::from_value(&read_json(&path)?).map_err(|e| e.at(path.display()))?;
+        let counts = (tree.services.len(), tree.organisations.len());
+        println!(
+            "{}: tree with {} services and {} organisations is good",
+            path.display(),
+            counts.0,
+            counts.1
+        );
+    }
+    Ok(())
+}
+
+fn run(settings: InstanceSettings) -> Result<()> {
+    logs::init(settings.log);
+    trace::init();
+    block_on(settings.threads.workers, async move {
+        let mut signals = StopSignals::listen().map_err(|e| internal(&e))?;
+        let listeners = Listeners::bind(&settings.listen).await?;
+        let running = start(settings, listeners)?;
+        log::info!("{} started", running.node.life);
+        signals.next().await;
+        shut_down(running, &mut signals).await;
+        Ok(())
+    })
+}
+
+async fn demo(settings: DemoSettings, output: Output) -> Result<()> {
+    logs::init(LogSettings::default());
+    trace::init();
+    let mut signals = StopSignals::listen().map_err(|e| internal(&e))?;
+    let demo = settings.start().await?;
+    match output {
+        Output::Text => println!("{}", demo.explain()),
+        Output::Json => println!("{}", demo.describe()),
+    }
+    signals.next().await;
+    demo.stop().await;
+    Ok(())
+}
+
+async fn standin_store(listen: SocketAddr, tree: Option<PathBuf>) -> Result<()> {
+    let store = StoreStandin::default();
+    let (address, task) = store.serve(listen).await.map_err(|e| internal(&e))?;
+    if let Some(path) = tree {
+        write_tree(address, &read_json(&path)?).await?;
+    }
+    println!("{}", serde_json::json!({ "listen": address }));
+    until_signal().await?;
+    task.abort();
+    Ok(())
+}
+
+async fn standin_backend(name: String, listen: SocketAddr, control: SocketAddr, slots: u32) -> Result<()> {
+    let backend = BackendStandin::new(&name, slots, true);
+    let addresses = backend.serve(listen, control).await.map_err(|e| internal(&e))?;
+    println!(
+        "{}",
+        serde_json::json!({ "listen": addresses.service, "control": addresses.control })
+    );
+    until_signal().await
+}
+
+async fn until_signal() -> Result<()> {
+    StopSignals::listen().map_err(|e| internal(&e))?.next().await;
+    Ok(())
+}
+
+fn read_json(path: &PathBuf) -> Result<serde_json::Value> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::new(ErrorKind::InvalidTree, e.to_string()).at(path.display()))?;
+    jsonc::parse(&text, ErrorKind::InvalidTree).map_err(|e| e.at(path.display()))
+}
+
+fn block_on(threads: usize, work: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build();
+    runtime.map_err(|e| internal(&e))?.block_on(work)
+}
+
+fn internal(e: &std::io::Error) -> Error {
+    Error::new(ErrorKind::Internal, e.to_string())
+}
--- /dev/null
+++ b/crates/burdock-node/src/demo.rs
@@ -0,0 +1,338 @@
+//! A whole system in one process, to be tried out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::ids::{ChangeId, InstanceId, RegionName, Revision, ZoneName};
+use burdock_model::manifest::Change;
+use burdock_model::units::Millis;
+use burdock_platform::config::{StoredHead, commit};
+use burdock_platform::http::HttpStore;
+use burdock_platform::store::{ListedInstance, Store};
+use burdock_standin::backend::BackendStandin;
+use burdock_standin::sample::{self, SERVICES, SampleBackend, SampleKey, place};
+use burdock_standin::store::StoreStandin;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::node::Phase;
+use crate::settings::{InstanceSettings, Listen, LogSettings, StoreSettings, Threads, TraceSettings};
+use crate::start::{Listeners, RunningNode, start};
+
+/// Slots of each backend server.
+const SLOTS: u32 = 6;
+
+/// The longest that the demo waits for itself to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(5);
+
+/// Port distance between instances when the first port is given.
+const PORTS_PER_INSTANCE: u16 = 3;
+
+/// What a demo consists of.
+#[derive(Clone, Debug)]
+pub struct DemoSettings {
+    instances: usize,
+    backends: usize,
+    seed: u64,
+    port: u16,
+}
+
+/// A running demo.
+#[derive(Debug)]
+pub struct Demo {
+    /// The instances.
+    pub nodes: Vec<RunningNode>,
+    /// The store.
+    pub store: StoreStandin,
+    /// Where the store listens.
+    pub store_address: SocketAddr,
+    /// A key for each organisation.
+    pub keys: Vec<SampleKey>,
+    /// The operator's token.
+    pub token: String,
+    /// Backend servers with their control addresses.
+    pub backends: Vec<(SampleBackend, SocketAddr)>,
+}
+
+impl Default for DemoSettings {
+    fn default() -> Self {
+        Self {
+            instances: 6,
+            backends: 6,
+            seed: 1,
+            port: 0,
+        }
+    }
+}
+
+impl DemoSettings {
+    /// Entry instances.
+    #[must_use]
+    pub const fn instances(mut self, count: usize) -> Self {
+        self.instances = count;
+        self
+    }
+
+    /// Backend servers for each service.
+    #[must_use]
+    pub const fn backends(mut self, count: usize) -> Self {
+        self.backends = count;
+        self
+    }
+
+    /// Seed of keys and tokens.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// The first port; 0 for any free ones.
+    #[must_use]
+    pub const fn port(mut self, port: u16) -> Self {
+        self.port = port;
+        self
+    }
+
+    /// Starts the demo and waits until it is ready.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Internal`] when something can't be started or does not become ready.
+    pub async fn start(&self) -> Result<Demo> {
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        let store = StoreStandin::default();
+        let (store_address, _task) = store
+            .serve(loopback(0))
+            .await
+            .map_err(|e| failed(&e.to_string()))?;
+        let backends = self.start_backends().await?;
+        let listed: Vec<SampleBackend> = backends.iter().map(|(b, _)| b.clone()).collect();
+        let (tree, keys) = sample::tree(&listed, || rng.random());
+        write_tree(store_address, &tree).await?;
+        let token = hex::encode(rng.random::<[u8; 16]>());
+        let mut prepared = Vec::new();
+        for ix in 0..self.instances {
+            let settings = self.settings(ix, store_address, &token)?;
+            let listeners = Listeners::bind(&settings.listen).await?;
+            prepared.push((settings, listeners));
+        }
+        let list = prepared
+            .iter()
+            .map(|(s, l)| Ok(listed_instance(s, &l.addresses()?)))
+            .collect::<Result<_>>()?;
+        store.set_instances(list);
+        let nodes = prepared
+            .into_iter()
+            .map(|(s, l)| start(s, l))
+            .collect::<Result<Vec<_>>>()?;
+        wait_ready(&nodes).await?;
+        Ok(Demo {
+            nodes,
+            store,
+            store_address,
+            keys,
+            token,
+            backends,
+        })
+    }
+
+    async fn start_backends(&self) -> Result<Vec<(SampleBackend, SocketAddr)>> {
+        let mut started = Vec::new();
+        for service in SERVICES {
+            for ix in 0..self.backends {
+                let id = format!("{service}-{ix}");
+                let backend = BackendStandin::new(&id, SLOTS, true);
+                let addresses = backend
+                    .serve(loopback(0), loopback(0))
+                    .await
+                    .map_err(|e| failed(&e.to_string()))?;
+                let (region, zone) = place(ix);
+                started.push((
+                    SampleBackend {
+                        id,
+                        service,
+                        region,
+                        zone,
+                        address: addresses.service,
+                    },
+                    addresses.control,
+                ));
+            }
+        }
+        Ok(started)
+    }
+
+    fn settings(&self, ix: usize, store: SocketAddr, token: &str) -> Result<InstanceSettings> {
+        let (region, zone) = place(ix);
+        let offset = u16::try_from(ix).unwrap_or(0) * PORTS_PER_INSTANCE;
+        let port = |nth: u16| {
+            if self.port == 0 {
+                0
+            } else {
+                self.port + offset + nth
+            }
+        };
+        Ok(InstanceSettings {
+            instance: InstanceId::new(&format!("{region}-{}", ix / sample::REGIONS.len() + 1))?,
+            region: RegionName::new(region)?,
+            zone: ZoneName::new(zone)?,
+            listen: Listen {
+                callers: loopback(port(0)),
+                peers: loopback(port(1)),
+                admin: loopback(port(2)),
+            },
+            store: StoreSettings {
+                address: store,
+                time_limit: Millis(1000),
+                calls_per_second: 100,
+            },
+            operators: [("demo".to_owned(), token.to_owned())].into(),
+            threads: Threads::default(),
+            metrics: None,
+            log: LogSettings::default(),
+            traces: TraceSettings::default(),
+        })
+    }
+}
+
+impl Demo {
+    /// Addresses, keys and tokens as JSON.
+    #[must_use]
+    pub fn describe(&self) -> Value {
+        let entry = |n: &RunningNode| {
+            let s = &n.node.settings;
+            json!({
+                "address": s.listen.callers, "admin": s.listen.admin, "region": s.region, "zone": s.zone,
+            })
+        };
+        let backend = |(b, control): &(SampleBackend, SocketAddr)| {
+            json!({
+                "address": b.address, "control": control, "region": b.region, "zone": b.zone, "service": b.service,
+            })
+        };
+        let key = |k: &SampleKey| json!({"organisation": k.organisation, "key": k.key});
+        json!({
+            "entries": self.nodes.iter().map(entry).collect::<Vec<_>>(),
+            "operator_token": self.token,
+            "store": self.store_address,
+            "backends": self.backends.iter().map(backend).collect::<Vec<_>>(),
+            "keys": self.keys.iter().map(key).collect::<Vec<_>>(),
+            "host": "demo.example",
+        })
+    }
+
+    /// Lines to try, for people.
+    #[must_use]
+    pub fn explain(&self) -> String {
+        let Some(first) = self.nodes.first() else {
+            return "no instances".to_owned();
+        };
+        let listen = &first.node.settings.listen;
+        let key = self.keys.first().map_or("", |k| k.key.as_str());
+        let mut text = String::from("burdockcroft demo\n\n");
+        for running in &self.nodes {
+            let s = &running.node.settings;
+            let line = format!(
+                "  {:<14} {:<14} callers {} admin {}\n",
+                s.instance, s.zone, s.listen.callers, s.listen.admin
+            );
+            text.push_str(&line);
+        }
+        text.push_str(&format!(
+            "\nkey for {}: {key}\n",
+            self.keys.first().map_or("", |k| k.organisation)
+        ));
+        text.push_str(&format!("operator token: {}\n\nTry:\n", self.token));
+        let callers = listen.callers;
+        let admin = listen.admin;
+        let token = &self.token;
+        for line in [
+            format!("curl -H 'X-Api-Key: {key}' 'http://{callers}/.burdock/v1/steer?service=quotes'"),
+            format!("curl -H 'X-Api-Key: {key}' http://{callers}/quotes/1"),
+            format!("curl -H 'X-Api-Key: {key}' -H 'Idempotency-Key: a1' -d open http://{callers}/valves/7"),
+            format!("export BURDOCK_ADMIN=http://{admin} BURDOCK_TOKEN={token}"),
+            "cargo run --release --bin burdockctl -- status".to_owned(),
+            "cargo run --release --bin burdockctl -- set organisations/farm-dobele/settings/rate '\"5/s\"'"
+                .to_owned(),
+        ] {
+            text.push_str(&format!("  {line}\n"));
+        }
+        text
+    }
+
+    /// Stops all instances at once.
+    pub async fn stop(self) {
+        futures::future::join_all(self.nodes.into_iter().map(RunningNode::stop)).await;
+    }
+}
+
+/// How the platform's list names an instance.
+#[must_use]
+pub fn listed_instance(settings: &InstanceSettings, listen: &Listen) -> ListedInstance {
+    ListedInstance {
+        id: settings.instance.to_string(),
+        address: listen.callers,
+        peer_address: listen.peers,
+        region: settings.region.to_string(),
+        zone: settings.zone.to_string(),
+        leaving: false,
+    }
+}
+
+/// Writes a first tree to an empty store.
+///
+/// # Errors
+/// As [`commit`].
+pub async fn write_tree(store: SocketAddr, tree: &Value) -> Result<StoredHead> {
+    let (store, _calls): (Store, _) = HttpStore::new(store).build();
+    burdock_model::tree::Tree::from_value(tree)?;
+    let change = Change {
+        id: ChangeId::new("first")?,
+        revision: Revision(0),
+        by: "first-tree".to_owned(),
+        path: String::new(),
+    };
+    commit(&store, &StoredHead::default(), tree, change).await
+}
+
+// Ready means: every instance has the configuration and sees all others, and no share is moving.
+async fn wait_ready(nodes: &[RunningNode]) -> Result<()> {
+    const LOOK: Duration = Duration::from_millis(20);
+    let end = tokio::time::Instant::now() + READY_LIMIT;
+    while !nodes.iter().all(|n| is_ready(n, nodes.len())) {
+        if tokio::time::Instant::now() >= end {
+            return Err(failed("the instances did not become ready"));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+fn is_ready(running: &RunningNode, instances: usize) -> bool {
+    use burdock_decide::membership::Standing;
+    let node = &running.node;
+    let view = node.fleet.view();
+    let alive = view
+        .entries
+        .iter()
+        .filter(|e| e.standing == Standing::Alive)
+        .count();
+    let in_force = node.in_force.load();
+    let mut records = in_force
+        .snapshot
+        .organisations
+        .iter()
+        .map(|o| node.limits.records.record(&o.name));
+    let shared = records.all(|r| r.is_some_and(|r| r.is_settled() && !r.present.is_empty()));
+    node.phase() == Phase::Ready && alive == instances && shared
+}
+
+const fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), port)
+}
+
+fn failed(detail: &str) -> Error {
+    Error::new(ErrorKind::Internal, detail)
+}
--- /dev/null
+++ b/crates/burdock-node/src/entry/answer.rs
@@ -0,0 +1,130 @@
+//! Answers to callers: bodies, refusals and the headers of the system's own.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use burdock_decide::headers::to_caller;
+use burdock_model::error::{Error, Outcome};
+use burdock_wire::messages::WholeAnswer;
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+
+use crate::entry::guarded::GuardedBody;
+use crate::forward::outbound::REQUEST_ID;
+use crate::node::Node;
+use crate::observe::counters::Counter;
+
+/// Header that tells whether a refused request ran.
+pub const OUTCOME: HeaderName = HeaderName::from_static("burdock-outcome");
+
+const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum EntryBody {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// A backend server's, as it comes.
+    Guarded(Box<GuardedBody>),
+}
+
+impl Body for EntryBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Guarded(body) => Pin::new(body.as_mut()).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Guarded(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Guarded(body) => body.size_hint(),
+        }
+    }
+}
+
+/// The answer to a refused request.
+#[must_use]
+pub fn refusal(node: &Node, e: &Error, request_id: HeaderValue) -> Response<EntryBody> {
+    use burdock_model::error::ErrorKind;
+    let answer = e.kind.answer();
+    node.counters.add(match answer.outcome {
+        Outcome::NotRun => Counter::RefusedNotRun,
+        Outcome::Unknown => Counter::RefusedUnknown,
+    });
+    if e.kind == ErrorKind::Overloaded {
+        node.counters.add(Counter::Overloaded);
+    }
+    let mut resp = whole(answer.status, e.problem().to_string(), PROBLEM_JSON);
+    let headers = resp.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+    headers.insert(REQUEST_ID, request_id);
+    if let Some(seconds) = answer.retry_after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    resp
+}
+
+/// An answer of the system's own.
+#[must_use]
+pub fn json(status: u16, value: &impl serde::Serialize) -> Response<EntryBody> {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    whole(status, text, JSON)
+}
+
+/// A backend server's answer that is held in whole.
+#[must_use]
+pub fn from_whole(answer: &WholeAnswer, request_id: HeaderValue) -> Response<EntryBody> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &answer.headers {
+        if let (Ok(name), Ok(value)) = (
+            HeaderName::try_from(name.as_str()),
+            HeaderValue::from_bytes(value),
+        ) {
+            headers.append(name, value);
+        }
+    }
+    let body = EntryBody::Whole(Full::new(Bytes::copy_from_slice(&answer.body)));
+    let mut resp = Response::new(body);
+    *resp.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *resp.headers_mut() = caller_headers(&headers, request_id);
+    // The body is framed anew from what is held.
+    resp.headers_mut().remove(CONTENT_LENGTH);
+    resp
+}
+
+/// A backend server's headers as the caller gets them.
+#[must_use]
+pub fn caller_headers(headers: &HeaderMap, request_id: HeaderValue) -> HeaderMap {
+    let connection = headers.get(CONNECTION).and_then(|v| v.to_str().ok());
+    let mut kept = HeaderMap::with_capacity(headers.len() + 1);
+    for (name, value) in headers {
+        if to_caller(name.as_str(), connection) {
+            kept.append(name, value.clone());
+        }
+    }
+    kept.insert(REQUEST_ID, request_id);
+    kept
+}
+
+fn whole(status: u16, text: String, content_type: HeaderValue) -> Response<EntryBody> {
+    let mut resp = Response::new(EntryBody::Whole(Full::new(Bytes::from(text))));
+    *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    resp.headers_mut().insert(CONTENT_TYPE, content_type);
+    resp
+}
--- /dev/null
+++ b/crates/burdock-node/src/entry/serve.rs
@@ -0,0 +1,104 @@
+//! Accepting callers' connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::entry::handle::handle;
+use crate::node::Node;
+
+/// Connections that callers may have open at one instance.
+const MAX_CONNECTIONS: usize = 20_000;
+
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Headers in a request.
+const MAX_HEADERS: usize = 100;
+
+/// The longest that a head may take to arrive.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// Requests at a time on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 200;
+
+/// The longest that open connections are waited for at the end.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Serves callers until `stop` turns true, then closes connections as they come to rest.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let graceful = GracefulShutdown::new();
+    let builder = Arc::new(builder());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, remote)) = accepted else {
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            continue;
+        };
+        let connection = connection(&node, &builder, &graceful, stream, remote);
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    // Connections that never come to rest are cut; their requests were finished or refused before.
+    let _late = tokio::time::timeout(CLOSE_LIMIT, graceful.shutdown()).await;
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(u32::try_from(MAX_HEAD_BYTES).unwrap_or(u32::MAX));
+    builder
+}
+
+fn connection(
+    node: &Arc<Node>,
+    builder: &Arc<auto::Builder<TokioExecutor>>,
+    graceful: &GracefulShutdown,
+    stream: TcpStream,
+    remote: SocketAddr,
+) -> impl Future<Output = ()> + use<> {
+    let node = Arc::clone(node);
+    let builder = Arc::clone(builder);
+    let watcher = graceful.watcher();
+    async move {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let service = service_fn(move |req: Request<Incoming>| {
+            let node = Arc::clone(&node);
+            async move { Ok::<_, Infallible>(handle(node, req, remote).await) }
+        });
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        // How a connection ends is its caller's affair.
+        let _ended = watcher.watch(connection).await;
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/entry/steer.rs
@@ -0,0 +1,183 @@
+//! Steering answers and the health of this instance, for callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use burdock_decide::connectivity::Connectivity;
+use burdock_decide::membership::Standing;
+use burdock_decide::shares::assigned;
+use burdock_decide::steer::{ANSWER_TTL, EntryView, SteerView, steer};
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::hash::stable;
+use burdock_model::ids::{InstanceId, Life, RegionName};
+use burdock_model::snapshot::{OrganisationIx, Snapshot};
+use burdock_model::units::MICROS;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::entry::answer::{EntryBody, json, refusal};
+use crate::entry::head::{authenticate, presented_key, request_id};
+use crate::fleet::FleetView;
+use crate::node::{Node, Phase};
+use crate::observe::counters::Counter;
+
+/// A steering answer.
+#[derive(Debug, Serialize)]
+pub struct SteerAnswer {
+    /// The revision it was made from.
+    pub revision: u64,
+    /// How long it may be kept.
+    pub ttl_ms: u64,
+    /// Entry instances, best first.
+    pub entries: Vec<SteerEntry>,
+}
+
+/// One entry instance in a steering answer.
+#[derive(Debug, Serialize)]
+pub struct SteerEntry {
+    /// Where to send requests.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its life, as it stands in `Burdock-Owner` and in idempotency keys.
+    pub incarnation: String,
+}
+
+/// Answers a request under the system's own prefix.
+pub fn handle(node: &Arc<Node>, req: &Request<Incoming>, remote: SocketAddr) -> Response<EntryBody> {
+    if req.method() != Method::GET {
+        return refusal(
+            node,
+            &Error::new(ErrorKind::BadRequest, "only GET is answered here"),
+            request_id(),
+        );
+    }
+    match req.uri().path() {
+        "/.burdock/v1/health" => health(node),
+        "/.burdock/v1/steer" => match answer(node, req, remote) {
+            Ok(answer) => json(200, &answer),
+            Err(e) => refusal(node, &e, request_id()),
+        },
+        path => refusal(
+            node,
+            &Error::new(ErrorKind::NoRoute, format!("nothing at `{path}`")),
+            request_id(),
+        ),
+    }
+}
+
+fn health(node: &Node) -> Response<EntryBody> {
+    let connectivity = node.fleet.contact(node.clock.now()).connectivity;
+    let ready =
+        node.phase() == Phase::Ready && connectivity != Connectivity::Isolated && !node.fleet.is_superseded();
+    let body = serde_json::json!({
+        "ready": ready,
+        "phase": format!("{:?}", node.phase()),
+        "connectivity": format!("{connectivity:?}"),
+    });
+    json(if ready { 200 } else { 503 }, &body)
+}
+
+fn answer(node: &Node, req: &Request<Incoming>, remote: SocketAddr) -> Result<SteerAnswer> {
+    let in_force = node.in_force.load();
+    let snapshot = &in_force.snapshot;
+    let (organisation, name) = authenticate(node, snapshot, presented_key(req.headers()), node.clock.now())?;
+    check_service(snapshot, req.uri().query())?;
+    node.counters.add(Counter::Steers);
+    let view = node.fleet.view();
+    let caller = stable(format!("{name}/{}", remote.ip()).as_bytes(), 11);
+    let preference = preference(node, snapshot, remote);
+    Ok(decide(&view, snapshot, organisation, &preference, caller))
+}
+
+/// The answer for one caller: a decision over the fleet as it is seen here.
+#[must_use]
+pub fn decide(
+    view: &FleetView,
+    snapshot: &Snapshot,
+    organisation: OrganisationIx,
+    preference: &[RegionName],
+    caller: u64,
+) -> SteerAnswer {
+    let chosen = assigned_instances(view, snapshot, organisation);
+    let entries: Vec<EntryView<'_>> = view
+        .entries
+        .iter()
+        .map(|e| EntryView {
+            id: e.life.instance.as_str(),
+            region: &e.region,
+            open: e.standing == Standing::Alive && !snapshot.tree.drains.regions.contains(&e.region),
+            assigned: chosen.contains(&&e.life.instance),
+            load_per_mille: e.load_per_mille,
+        })
+        .collect();
+    let order = steer(&SteerView {
+        entries: &entries,
+        preference,
+        caller,
+    });
+    let entry = |ix: usize| {
+        let e = &view.entries[ix];
+        let life = Life {
+            instance: e.life.instance.clone(),
+            incarnation: e.life.incarnation,
+        };
+        SteerEntry {
+            address: e.address,
+            region: e.region.to_string(),
+            zone: e.zone.to_string(),
+            incarnation: life.to_string(),
+        }
+    };
+    SteerAnswer {
+        revision: snapshot.revision.0,
+        ttl_ms: u64::try_from(ANSWER_TTL.as_millis()).unwrap_or(u64::MAX),
+        entries: order.into_iter().map(entry).collect(),
+    }
+}
+
+fn assigned_instances<'a>(
+    view: &'a FleetView,
+    snapshot: &Snapshot,
+    organisation: OrganisationIx,
+) -> Vec<&'a InstanceId> {
+    let organisation = &snapshot.organisations[organisation];
+    let alive = view.entries.iter().filter(|e| e.standing == Standing::Alive);
+    let rate = organisation.rate.micros_per_second() / MICROS;
+    assigned(
+        organisation.name.as_str(),
+        rate,
+        organisation.burst,
+        alive.map(|e| (&e.life.instance, &e.region)),
+    )
+}
+
+// The caller's region by its block, else this instance's, then the others by their distance from it.
+fn preference(node: &Node, snapshot: &Snapshot, remote: SocketAddr) -> Vec<RegionName> {
+    let home = snapshot
+        .blocks
+        .region(remote.ip())
+        .unwrap_or(&node.settings.region);
+    let mut order = vec![home.clone()];
+    if let Some(region) = snapshot.tree.regions.get(home) {
+        let mut others: Vec<(&RegionName, u32)> = region.one_way_ms.iter().map(|(r, ms)| (r, *ms)).collect();
+        others.sort_by_key(|(_, ms)| *ms);
+        order.extend(others.into_iter().map(|(r, _)| r.clone()));
+    }
+    order
+}
+
+fn check_service(snapshot: &Snapshot, query: Option<&str>) -> Result<()> {
+    let named = query
+        .unwrap_or("")
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("service="));
+    match named {
+        None => Err(Error::new(ErrorKind::BadRequest, "no service named").hint("add `?service=NAME`")),
+        Some(name) if snapshot.service_named(name).is_some() => Ok(()),
+        Some(name) => Err(Error::new(ErrorKind::NoRoute, format!("no service `{name}`"))),
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/fleet/exchange.rs
@@ -0,0 +1,195 @@
+//! Rounds of exchange with other instances.
+
+use std::sync::Arc;
+
+use burdock_decide::membership::{Source, partners, round_time};
+use burdock_decide::time::Time;
+use burdock_model::error::Result;
+use burdock_model::fleet::{BackendLoad, Split};
+use burdock_wire::messages::{Exchange, PeerAddress};
+use std::time::Duration;
+
+use crate::fleet::install;
+use crate::forward::backends::Report;
+use crate::limits::records;
+use crate::node::{Node, Phase};
+use crate::observe::counters::Counter;
+
+/// Load reports in one message.
+const MAX_LOADS: usize = 48;
+
+/// Runs rounds of exchange for as long as the instance lives.
+pub async fn exchange_loop(node: Arc<Node>) {
+    loop {
+        let partners = begin_round(&node);
+        for peer in partners {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move { exchange_with(&node, &peer).await });
+        }
+        let members = node.fleet.view().entries.len();
+        // Rounds of different instances must not fall together.
+        let pause = round_time(members).mul_f64(rand::random_range(0.9..1.1));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn begin_round(node: &Node) -> Vec<PeerAddress> {
+    let revision = node.in_force.load().snapshot.revision;
+    node.fleet
+        .beat(revision, node.phase() >= Phase::Draining, node.clock.now());
+    let members = node.fleet.members();
+    let chosen = partners(&node.life.instance, &node.settings.zone, &members, rand::random());
+    let address = |id| node.fleet.peer_address(id);
+    chosen
+        .into_iter()
+        .filter_map(|m| {
+            Some(PeerAddress {
+                id: m.id.clone(),
+                address: address(&m.id)?,
+            })
+        })
+        .collect()
+}
+
+async fn exchange_with(node: &Arc<Node>, peer: &PeerAddress) {
+    let asked = node.clock.now();
+    node.counters.add(Counter::Exchanges);
+    let Ok(answer) = node.peers.exchange(peer, compose(node)).await else {
+        node.counters.add(Counter::ExchangesFailed);
+        return;
+    };
+    if answer.sender.instance != peer.id {
+        return;
+    }
+    // Contact counts only once what the other holds is held here too: an instance that was cut off must
+    // not serve in the moment between hearing of a change and installing it.
+    let caught_up = catch_up(node, peer, &answer).await.is_ok();
+    let source = if caught_up {
+        Source::Answered(asked)
+    } else {
+        Source::Told(node.clock.now())
+    };
+    absorb(node, &answer, source);
+    if let Some(age) = answer.store_age_ms.filter(|_| caught_up) {
+        node.fleet
+            .confirm_store(asked - Duration::from_millis(u64::from(age)));
+    }
+}
+
+async fn catch_up(node: &Arc<Node>, peer: &PeerAddress, theirs: &Exchange) -> Result<()> {
+    install::reach(node, theirs.revision, Some(peer)).await?;
+    if theirs.shares_digest == node.limits.records.digest() {
+        return Ok(());
+    }
+    let mut news = false;
+    for bucket in node.peers.shares(peer).await? {
+        news |= node.limits.records.take(&bucket)?;
+    }
+    if news {
+        records::apply(node);
+    }
+    Ok(())
+}
+
+/// Answers another instance's round.
+#[must_use]
+pub fn answer(node: &Arc<Node>, theirs: &Exchange) -> Exchange {
+    absorb(node, theirs, Source::Told(node.clock.now()));
+    if theirs.revision > node.in_force.load().snapshot.revision {
+        let (node, revision, id) = (Arc::clone(node), theirs.revision, theirs.sender.instance.clone());
+        tokio::spawn(async move { install::reach_from(&node, revision, &id).await });
+    }
+    compose(node)
+}
+
+fn absorb(node: &Node, theirs: &Exchange, source: Source) {
+    let now = node.clock.now();
+    node.fleet.observe(&theirs.heartbeats, source, now);
+    node.fleet
+        .note_load(&theirs.sender.instance, theirs.load_per_mille);
+    node.fleet.note_successions(theirs.successions.clone(), now);
+    let news = node.quarantine.heard(&theirs.strikes, now);
+    node.counters.add_many(Counter::Strikes, news as u64);
+    absorb_loads(node, &theirs.loads, now);
+    adopt_splits(node, theirs);
+}
+
+fn absorb_loads(node: &Node, loads: &[BackendLoad], now: Time) {
+    let in_force = node.in_force.load();
+    let backends = in_force.backends();
+    for load in loads {
+        let at = now - Duration::from_millis(u64::from(load.age_ms));
+        if let Some(backend) = backends.get(&load.id) {
+            backend.reported(Report {
+                in_flight: Some(load.in_flight),
+                at,
+                accepting: load.accepting,
+            });
+        }
+    }
+}
+
+// An instance that has just started takes up the split of its region, which may be in mid-shift.
+fn adopt_splits(node: &Node, theirs: &Exchange) {
+    let view = node.fleet.view();
+    let same_region = view
+        .entries
+        .iter()
+        .any(|e| e.life == theirs.sender && e.region == node.settings.region);
+    if !same_region {
+        return;
+    }
+    let in_force = node.in_force.load();
+    for service in &in_force.services {
+        let told = theirs.splits.iter().find(|s| s.service == service.name);
+        if let Some(split) = told.filter(|s| s.per_million.len() == service.regions.len()) {
+            super::plan::adopt(service, &split.per_million, node.clock.now());
+        }
+    }
+}
+
+fn compose(node: &Node) -> Exchange {
+    let now = node.clock.now();
+    let in_force = node.in_force.load();
+    let age = node.fleet.store_confirmed().map(|at| now.since(at).as_millis());
+    Exchange {
+        sender: node.life.clone(),
+        heartbeats: node.fleet.digest(rand::random(), now),
+        revision: in_force.snapshot.revision,
+        store_age_ms: age.and_then(|ms| u32::try_from(ms).ok()),
+        shares_digest: node.limits.records.digest(),
+        load_per_mille: super::plan::load_per_mille(node),
+        loads: loads(node, now),
+        strikes: node.quarantine.told(now),
+        successions: node.fleet.successions(),
+        splits: in_force.services.iter().filter_map(split_of).collect(),
+    }
+}
+
+fn split_of(service: &crate::in_force::ServiceState) -> Option<Split> {
+    let split = service.split.load();
+    split.at?;
+    Some(Split {
+        service: service.name.clone(),
+        per_million: split.parts.clone(),
+    })
+}
+
+fn loads(node: &Node, now: Time) -> Vec<BackendLoad> {
+    let in_force = node.in_force.load();
+    let load = |backend: &Arc<crate::forward::backends::BackendState>| {
+        let report = backend.report();
+        let in_flight = report.in_flight?;
+        let age_ms = u32::try_from(now.since(report.at).as_millis()).ok()?;
+        Some(BackendLoad {
+            id: backend.id.clone(),
+            accepting: report.accepting,
+            in_flight,
+            age_ms,
+        })
+    };
+    let mut loads: Vec<BackendLoad> = in_force.backends().into_values().filter_map(load).collect();
+    loads.sort_unstable_by_key(|l| l.age_ms);
+    loads.truncate(MAX_LOADS);
+    loads
+}
--- /dev/null
+++ b/crates/burdock-node/src/fleet/mod.rs
@@ -0,0 +1,435 @@
+//! What this instance knows of the other instances.
+
+pub mod exchange;
+pub mod install;
+pub mod plan;
+pub mod probe;
+pub mod watch;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use burdock_decide::connectivity::{
+    CHANGE_BOUND, Contact, ContactView, contact, majority_heard, may_take_over,
+};
+use burdock_decide::membership::{Member, Source, Standing, digest, id_hash, observe, standing};
+use burdock_decide::time::Time;
+use burdock_model::fleet::{Heartbeat, Succession};
+use burdock_model::ids::{InstanceId, Life, RegionName, Revision, ZoneName};
+use burdock_platform::store::ListedInstance;
+use parking_lot::Mutex;
+
+use crate::settings::InstanceSettings;
+
+/// How long the successor of an instance that left is remembered.
+const SUCCESSION_KEPT: Duration = Duration::from_secs(3600);
+
+/// Successions in one message.
+const MAX_SUCCESSIONS: usize = 64;
+
+/// The other instances and how this one stands towards them.
+#[derive(Debug)]
+pub struct Fleet {
+    own: Life,
+    began: Time,
+    state: Mutex<State>,
+    view: ArcSwap<FleetView>,
+    contact: ContactTimes,
+}
+
+// Times that decide on contact, readable without a lock. Zero stands for never.
+#[derive(Debug, Default)]
+struct ContactTimes {
+    store_confirmed: AtomicU64,
+    majority_heard: AtomicU64,
+    change_pending: AtomicU64,
+    members: AtomicU64,
+    superseded: AtomicU64,
+}
+
+#[derive(Debug)]
+struct State {
+    members: Vec<Member>,
+    addresses: HashMap<InstanceId, Addresses>,
+    loads: HashMap<InstanceId, u32>,
+    successions: Vec<(Succession, Time)>,
+    own_change: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// The fleet as requests see it.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Every known instance, this one among them.
+    pub entries: Vec<Entry>,
+}
+
+/// One instance as requests see it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its latest life.
+    pub life: Life,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where other instances reach it.
+    pub peer_address: SocketAddr,
+    /// How it stands.
+    pub standing: Standing,
+    /// Thousandths of what it can carry that it carries.
+    pub load_per_mille: u32,
+    /// The revision it has in force.
+    pub revision: Revision,
+}
+
+impl Fleet {
+    /// A fleet of this instance alone.
+    #[must_use]
+    pub fn new(own: &Life, settings: &InstanceSettings, now: Time) -> Self {
+        let member = Member {
+            id: own.instance.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            incarnation: own.incarnation,
+            heartbeat: 1,
+            heard: now,
+            life_began: now,
+            confirmed: Some(now),
+            revision: Revision(0),
+            leaving: false,
+            listed: true,
+            change_pending: false,
+        };
+        let addresses = Addresses {
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+        };
+        let state = State {
+            members: vec![member],
+            addresses: HashMap::from([(own.instance.clone(), addresses)]),
+            loads: HashMap::new(),
+            successions: Vec::new(),
+            own_change: None,
+        };
+        let fleet = Self {
+            own: own.clone(),
+            began: now,
+            state: Mutex::new(state),
+            view: ArcSwap::default(),
+            contact: ContactTimes::default(),
+        };
+        fleet.refresh(now);
+        fleet
+    }
+
+    /// The fleet as requests see it.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        self.view.load_full()
+    }
+
+    /// How this instance stands now.
+    #[must_use]
+    pub fn contact(&self, now: Time) -> Contact {
+        contact(&self.contact_view(now))
+    }
+
+    /// Whether this instance may accept a change or take over what another held.
+    #[must_use]
+    pub fn may_take_over(&self, now: Time) -> bool {
+        may_take_over(&self.contact_view(now))
+    }
+
+    /// When the store's state was last confirmed.
+    #[must_use]
+    pub fn store_confirmed(&self) -> Option<Time> {
+        time_of(&self.contact.store_confirmed)
+    }
+
+    /// Notes that the store's state of this time is known here.
+    pub fn confirm_store(&self, at: Time) {
+        self.contact.store_confirmed.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// Promises to count contact as lost until the change announced now is settled.
+    pub fn promise_change(&self, now: Time) {
+        self.state.lock().own_change = Some(now);
+        self.refresh(now);
+    }
+
+    /// Takes in the platform's list. Instances that are not in it are kept while they are heard of.
+    pub fn take_list(&self, list: &[ListedInstance], now: Time) {
+        let mut state = self.state.lock();
+        for member in &mut state.members {
+            member.listed = member.id == self.own.instance;
+        }
+        for listed in list {
+            state.take_listed(listed, now);
+        }
+        drop(state);
+        self.refresh(now);
+    }
+
+    /// Takes in heartbeats from another instance.
+    pub fn observe(&self, beats: &[Heartbeat], source: Source, now: Time) {
+        let mut state = self.state.lock();
+        let by_hash: HashMap<u64, usize> = state
+            .members
+            .iter()
+            .enumerate()
+            .map(|(ix, m)| (id_hash(&m.id), ix))
+            .collect();
+        for beat in beats {
+            let Some(member) = by_hash.get(&beat.id_hash).map(|ix| &mut state.members[*ix]) else {
+                continue;
+            };
+            if member.id != self.own.instance {
+                observe(member, beat, source);
+            } else if beat.incarnation > self.own.incarnation {
+                self.contact.superseded.store(1, Ordering::Release);
+            }
+        }
+        drop(state);
+        self.refresh(now);
+    }
+
+    /// Counts up this instance's own heartbeat.
+    pub fn beat(&self, revision: Revision, leaving: bool, now: Time) {
+        let mut state = self.state.lock();
+        let pending = state.own_change_pending(self.store_confirmed());
+        let own = state.members.iter_mut().find(|m| m.id == self.own.instance);
+        if let Some(own) = own {
+            own.heartbeat += 1;
+            own.heard = now;
+            own.revision = revision;
+            own.leaving |= leaving;
+            own.change_pending = pending;
+        }
+        drop(state);
+        self.refresh(now);
+    }
+
+    /// The members, for choosing partners and making digests.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        self.state.lock().members.clone()
+    }
+
+    /// The heartbeats to send.
+    #[must_use]
+    pub fn digest(&self, draw: u64, now: Time) -> Vec<Heartbeat> {
+        digest(&self.state.lock().members, draw, now)
+    }
+
+    /// Notes how much another instance carries.
+    pub fn note_load(&self, id: &InstanceId, per_mille: u32) {
+        self.state.lock().loads.insert(id.clone(), per_mille);
+    }
+
+    /// Where an instance is reached by others.
+    #[must_use]
+    pub fn peer_address(&self, id: &InstanceId) -> Option<SocketAddr> {
+        self.state.lock().addresses.get(id).map(|a| a.peers)
+    }
+
+    /// How long a life has been silent.
+    ///
+    /// A newer life of the same instance tells nothing about an older one that may only be paused, so an
+    /// older life's silence counts from when the newer one was first heard of. A life that was never heard
+    /// of counts as silent since this instance started.
+    #[must_use]
+    pub fn silent_for(&self, life: &Life, now: Time) -> Duration {
+        if *life == self.own {
+            return Duration::ZERO;
+        }
+        let state = self.state.lock();
+        let member = state.members.iter().find(|m| m.id == life.instance);
+        let last = match member.map(|m| (m, m.incarnation.cmp(&life.incarnation))) {
+            Some((m, std::cmp::Ordering::Equal)) => m.heard,
+            Some((m, std::cmp::Ordering::Greater)) => m.life_began,
+            Some((_, std::cmp::Ordering::Less)) | None => self.began,
+        };
+        now.since(last)
+    }
+
+    /// Whether a newer life of this instance was heard of: then this one must stop.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.contact.superseded.load(Ordering::Acquire) != 0
+    }
+
+    /// Who answers for a life that left, following successors of successors.
+    #[must_use]
+    pub fn successor(&self, life: &Life) -> Option<Life> {
+        const LONGEST_CHAIN: usize = 16;
+        let state = self.state.lock();
+        let next = |of: &Life| {
+            state
+                .successions
+                .iter()
+                .rev()
+                .find(|(s, _)| s.left == *of)
+                .map(|(s, _)| &s.successor)
+        };
+        let mut found = next(life)?;
+        for _ in 0..LONGEST_CHAIN {
+            match next(found) {
+                Some(further) => found = further,
+                None => break,
+            }
+        }
+        Some(found.clone())
+    }
+
+    /// Notes successors of instances that left.
+    pub fn note_successions(&self, told: Vec<Succession>, now: Time) {
+        let mut state = self.state.lock();
+        for succession in told {
+            if !state.successions.iter().any(|(known, _)| *known == succession) {
+                state.successions.push((succession, now));
+            }
+        }
+        state
+            .successions
+            .retain(|(_, at)| now.since(*at) < SUCCESSION_KEPT);
+    }
+
+    /// Successions to tell, newest last.
+    #[must_use]
+    pub fn successions(&self) -> Vec<Succession> {
+        let state = self.state.lock();
+        let first = state.successions.len().saturating_sub(MAX_SUCCESSIONS);
+        state.successions[first..]
+            .iter()
+            .map(|(s, _)| s.clone())
+            .collect()
+    }
+
+    fn contact_view(&self, now: Time) -> ContactView {
+        ContactView {
+            now,
+            store_confirmed: self.store_confirmed(),
+            majority_heard: time_of(&self.contact.majority_heard),
+            members: usize::try_from(self.contact.members.load(Ordering::Acquire)).unwrap_or(usize::MAX),
+            change_pending: self.contact.change_pending.load(Ordering::Acquire) != 0,
+        }
+    }
+
+    // Works out anew what requests read without a lock.
+    fn refresh(&self, now: Time) {
+        let mut state = self.state.lock();
+        let count = state.members.len();
+        state
+            .members
+            .retain(|m| standing(m, count, now) != Standing::Gone);
+        let others = state.members.iter().filter(|m| m.id != self.own.instance);
+        let mut heard: Vec<Option<Time>> = others.map(|m| m.confirmed).collect();
+        let majority = majority_heard(now, &mut heard);
+        let pending = state.change_pending(self.store_confirmed(), now);
+        let view = state.view(now);
+        drop(state);
+        self.contact
+            .majority_heard
+            .store(majority.map_or(0, |t| t.0), Ordering::Release);
+        self.contact
+            .change_pending
+            .store(u64::from(pending), Ordering::Release);
+        self.contact
+            .members
+            .store(view.entries.len() as u64, Ordering::Release);
+        self.view.store(Arc::new(view));
+    }
+}
+
+impl State {
+    fn take_listed(&mut self, listed: &ListedInstance, now: Time) {
+        let names = (
+            InstanceId::new(&listed.id),
+            RegionName::new(&listed.region),
+            ZoneName::new(&listed.zone),
+        );
+        let (Ok(id), Ok(region), Ok(zone)) = names else {
+            log::warn!("the platform's list has a malformed instance: {listed:?}");
+            return;
+        };
+        let addresses = Addresses {
+            callers: listed.address,
+            peers: listed.peer_address,
+        };
+        self.addresses.insert(id.clone(), addresses);
+        if let Some(member) = self.members.iter_mut().find(|m| m.id == id) {
+            member.listed = true;
+            member.leaving |= listed.leaving;
+            return;
+        }
+        self.members.push(Member {
+            id,
+            region,
+            zone,
+            incarnation: burdock_model::ids::Incarnation(0),
+            heartbeat: 0,
+            heard: now,
+            life_began: now,
+            confirmed: None,
+            revision: Revision(0),
+            leaving: listed.leaving,
+            listed: true,
+            change_pending: false,
+        });
+    }
+
+    // A change is pending while one that was announced here, or at an instance in touch, is not settled.
+    fn change_pending(&self, store_confirmed: Option<Time>, now: Time) -> bool {
+        let count = self.members.len();
+        let told = self
+            .members
+            .iter()
+            .any(|m| m.change_pending && standing(m, count, now) != Standing::Suspect);
+        told || self.own_change_pending(store_confirmed)
+    }
+
+    // It is settled once the store's state is known from a time by which it must have been written.
+    fn own_change_pending(&self, store_confirmed: Option<Time>) -> bool {
+        let settled = |at: Time| store_confirmed.is_some_and(|c| c > at + CHANGE_BOUND);
+        self.own_change.is_some_and(|at| !settled(at))
+    }
+
+    fn view(&self, now: Time) -> FleetView {
+        let count = self.members.len();
+        let entry = |member: &Member| {
+            let addresses = self.addresses.get(&member.id)?;
+            Some(Entry {
+                life: Life {
+                    instance: member.id.clone(),
+                    incarnation: member.incarnation,
+                },
+                region: member.region.clone(),
+                zone: member.zone.clone(),
+                address: addresses.callers,
+                peer_address: addresses.peers,
+                standing: standing(member, count, now),
+                load_per_mille: self.loads.get(&member.id).copied().unwrap_or(0),
+                revision: member.revision,
+            })
+        };
+        FleetView {
+            entries: self.members.iter().filter_map(entry).collect(),
+        }
+    }
+}
+
+fn time_of(value: &AtomicU64) -> Option<Time> {
+    Some(value.load(Ordering::Acquire)).filter(|t| *t != 0).map(Time)
+}
--- /dev/null
+++ b/crates/burdock-node/src/fleet/plan.rs
@@ -0,0 +1,154 @@
+//! Working out, again and again, how traffic is split over regions and how much may run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::admit::running_limit;
+use burdock_decide::membership::Standing;
+use burdock_decide::pick::{BackendView, estimated_in_flight};
+use burdock_decide::region::{DemandView, RegionView, target_split};
+use burdock_decide::shift::slew;
+use burdock_decide::time::Time;
+
+use crate::in_force::{InForce, RegionState, ServiceState, SplitState};
+use crate::node::Node;
+
+/// Time between two plans.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// The longest time that one step of a shift counts for, so that a process that was paused does not jump.
+const LONGEST_STEP: Duration = Duration::from_millis(1000);
+
+/// How long an instance that has just started waits for its region's split before it makes its own.
+const ADOPT_WAIT: Duration = Duration::from_millis(1500);
+
+/// Plans again and again.
+pub async fn plan_loop(node: Arc<Node>) {
+    let began = node.clock.now();
+    let mut tick = tokio::time::interval(INTERVAL);
+    loop {
+        tick.tick().await;
+        let now = node.clock.now();
+        let in_force = node.in_force.load_full();
+        for service in &in_force.services {
+            plan(&node, service, began, now);
+        }
+        node.quarantine.sweep(now);
+    }
+}
+
+/// Takes up a split that another instance has, if there is none of its own yet.
+pub fn adopt(service: &ServiceState, parts: &[u32], now: Time) {
+    if service.split.load().at.is_none() {
+        service.split.store(Arc::new(SplitState {
+            parts: parts.to_vec(),
+            at: Some(now),
+        }));
+    }
+}
+
+/// Thousandths of what this instance may run that it runs, over all services.
+#[must_use]
+pub fn load_per_mille(node: &Node) -> u32 {
+    let in_force = node.in_force.load();
+    let (mut running, mut limit) = (0, 0);
+    for service in &in_force.services {
+        let load = service.admission.load();
+        running += load.running + load.waiting;
+        limit += load.limit;
+    }
+    u32::try_from(running * 1000 / limit.max(1)).unwrap_or(u32::MAX)
+}
+
+fn plan(node: &Node, service: &ServiceState, began: Time, now: Time) {
+    let senders = senders(node);
+    let views: Vec<Vec<BackendView>> = service
+        .regions
+        .iter()
+        .map(|r| r.backends.iter().map(|b| b.view(now)).collect())
+        .collect();
+    let usable = views.iter().flatten().filter(|v| v.open);
+    let limit = running_limit(usable, senders, now);
+    service.admission.set_limit(limit, node.clock);
+    let in_force = node.in_force.load();
+    let regions: Vec<RegionView> = service
+        .regions
+        .iter()
+        .zip(&views)
+        .map(|(region, views)| region_view(&in_force, node, region, views, senders, now))
+        .collect();
+    let demand = demand(service, &views, node);
+    let target = target_split(&regions, &demand);
+    let present = service.split.load_full();
+    let parts = match present.at {
+        None if now.since(began) < ADOPT_WAIT && senders > 1 => return,
+        None => target,
+        Some(at) => {
+            let planned = service.regions.iter().any(|r| r.planned.is_some());
+            let cap = if planned && all_work(&regions) {
+                service.plan_cap
+            } else {
+                service.failover_cap
+            };
+            slew(&present.parts, &target, cap, now.since(at).min(LONGEST_STEP))
+        }
+    };
+    service.split.store(Arc::new(SplitState { parts, at: Some(now) }));
+}
+
+fn all_work(regions: &[RegionView]) -> bool {
+    regions
+        .iter()
+        .all(|r| r.slots > 0 || r.planned_per_mille == Some(0))
+}
+
+fn region_view(
+    in_force: &InForce,
+    node: &Node,
+    region: &RegionState,
+    views: &[BackendView],
+    senders: usize,
+    now: Time,
+) -> RegionView {
+    let open = || views.iter().filter(|v| v.open);
+    let own_node = in_force.snapshot.tree.regions.get(&node.settings.region);
+    let link = own_node.and_then(|r| r.link_bytes_per_second);
+    RegionView {
+        local: region.local,
+        slots: open().map(|v| v.slots).sum(),
+        busy: open().map(|v| estimated_in_flight(v, now)).sum(),
+        one_way: region.one_way,
+        senders: u32::try_from(senders).unwrap_or(u32::MAX),
+        planned_per_mille: region.planned,
+        link_room: link
+            .filter(|_| !region.local)
+            .map(|bytes| bytes / senders.max(1) as u64),
+    }
+}
+
+fn demand(service: &ServiceState, views: &[Vec<BackendView>], node: &Node) -> DemandView {
+    let load = service.admission.load();
+    let times: Vec<Duration> = views
+        .iter()
+        .flatten()
+        .filter(|v| v.open)
+        .map(|v| v.service_time)
+        .collect();
+    let mean = times.iter().sum::<Duration>() / u32::try_from(times.len().max(1)).unwrap_or(1);
+    DemandView {
+        in_flight: u32::try_from(load.running + load.waiting).unwrap_or(u32::MAX),
+        service_time: mean,
+        bytes_per_request: node.bytes_per_request(),
+        spill: true,
+    }
+}
+
+// Instances that may send work anywhere: those that are alive.
+fn senders(node: &Node) -> usize {
+    let view = node.fleet.view();
+    view.entries
+        .iter()
+        .filter(|e| e.standing == Standing::Alive)
+        .count()
+        .max(1)
+}
--- /dev/null
+++ b/crates/burdock-node/src/forward/admission.rs
@@ -0,0 +1,187 @@
+//! The queue before a service at this instance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use burdock_decide::admit::{Entry, FairQueue, Ticket};
+use burdock_decide::time::Time;
+use burdock_model::error::{Error, ErrorKind, Result};
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+
+/// Requests that may run before the first plan has looked at the backend servers.
+const FIRST_LIMIT: usize = 64;
+
+/// Requests that may wait.
+const ROOM: usize = 1024;
+
+/// A fair queue and those who wait in it.
+#[derive(Debug)]
+pub struct Admission {
+    state: Mutex<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    queue: FairQueue,
+    wakers: HashMap<Ticket, oneshot::Sender<bool>>,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(Waiting {
+                queue: FairQueue::new(FIRST_LIMIT, ROOM),
+                wakers: HashMap::new(),
+            }),
+        }
+    }
+}
+
+/// How busy a queue is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that may run.
+    pub limit: usize,
+}
+
+/// Leave to run. Dropping it lets the next one run.
+#[derive(Debug)]
+pub struct Permit {
+    admission: Arc<Admission>,
+    clock: Clock,
+}
+
+impl Admission {
+    /// Waits for leave to run, until the deadline.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Overloaded`] when there is no room, [`ErrorKind::DeadlineBefore`] when time is up.
+    pub async fn enter(
+        self: &Arc<Self>,
+        organisation: u64,
+        weight: u32,
+        deadline: Time,
+        clock: Clock,
+    ) -> Result<Permit> {
+        let (ticket, rx) = {
+            let mut state = self.state.lock();
+            let ticket = match state.queue.enter(organisation, weight, deadline) {
+                Entry::Run => return Ok(self.permit(clock)),
+                Entry::Refused => return Err(Error::from(ErrorKind::Overloaded)),
+                Entry::Wait(ticket) => ticket,
+                Entry::WaitInsteadOf { ticket, evicted } => {
+                    if let Some(tx) = state.wakers.remove(&evicted) {
+                        let _gone = tx.send(false);
+                    }
+                    ticket
+                }
+            };
+            let (tx, rx) = oneshot::channel();
+            state.wakers.insert(ticket, tx);
+            (ticket, rx)
+        };
+        let place = Place {
+            admission: self,
+            ticket,
+            clock,
+            done: false,
+        };
+        place.wait(rx, deadline).await
+    }
+
+    /// Changes how many may run, and starts those that now may.
+    pub fn set_limit(self: &Arc<Self>, limit: usize, clock: Clock) {
+        let mut state = self.state.lock();
+        state.queue.set_limit(limit);
+        while state.start_next(clock.now()) {}
+    }
+
+    /// How busy it is.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let state = self.state.lock();
+        Load {
+            running: state.queue.running(),
+            waiting: state.queue.waiting(),
+            limit: state.queue.limit(),
+        }
+    }
+
+    fn permit(self: &Arc<Self>, clock: Clock) -> Permit {
+        Permit {
+            admission: Arc::clone(self),
+            clock,
+        }
+    }
+}
+
+impl Waiting {
+    // Returns whether one was started. One that gave up at this moment hands its place on.
+    fn start_next(&mut self, now: Time) -> bool {
+        let Some(ticket) = self.queue.start_next(now) else {
+            return false;
+        };
+        self.wake(ticket);
+        true
+    }
+
+    fn wake(&mut self, ticket: Ticket) {
+        if let Some(tx) = self.wakers.remove(&ticket) {
+            // The receiver gives its place back if it has gone; see `Place`.
+            let _gone = tx.send(true);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.admission.state.lock();
+        if let Some(ticket) = state.queue.leave(self.clock.now()) {
+            state.wake(ticket);
+        }
+    }
+}
+
+// A place in the queue. If its request goes away, the place, or the leave already given, goes back.
+struct Place<'a> {
+    admission: &'a Arc<Admission>,
+    ticket: Ticket,
+    clock: Clock,
+    done: bool,
+}
+
+impl Place<'_> {
+    async fn wait(mut self, rx: oneshot::Receiver<bool>, deadline: Time) -> Result<Permit> {
+        let answer = tokio::time::timeout_at(self.clock.instant(deadline), rx).await;
+        let result = match answer {
+            Ok(Ok(true)) => Ok(self.admission.permit(self.clock)),
+            Ok(_) => Err(Error::from(ErrorKind::Overloaded)),
+            Err(_elapsed) => return Err(Error::from(ErrorKind::DeadlineBefore)),
+        };
+        self.done = true;
+        result
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let mut state = self.admission.state.lock();
+        let waited = state.queue.cancel(self.ticket);
+        let woken = state.wakers.remove(&self.ticket).is_none();
+        drop(state);
+        if !waited && woken {
+            // Leave was given but not taken up.
+            drop(self.admission.permit(self.clock));
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/forward/backends.rs
@@ -0,0 +1,208 @@
+//! What this instance knows of each backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use burdock_decide::pick::{BackendView, Health};
+use burdock_decide::time::{Time, micros};
+use burdock_model::ids::{BackendId, RegionName};
+use burdock_model::snapshot::Backend;
+use parking_lot::Mutex;
+
+use crate::forward::pool::Pool;
+
+/// The mean working time assumed before any is seen.
+const FIRST_SERVICE_TIME_US: u64 = 5_000;
+
+/// A new working time counts for one part in this many of the mean.
+const MEAN_WEIGHT: u64 = 16;
+
+/// A backend server as seen from here.
+#[derive(Debug)]
+pub struct BackendState {
+    /// Its id.
+    pub id: BackendId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: RegionName,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Connections to it.
+    pub pool: Pool,
+    draining: AtomicBool,
+    in_flight: AtomicU32,
+    alone: AtomicBool,
+    service_time_us: AtomicU64,
+    since: AtomicU64,
+    health: Mutex<Health>,
+    report: Mutex<Report>,
+}
+
+/// The newest load report of a backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// Requests at work there; `None` before the first report.
+    pub in_flight: Option<u32>,
+    /// When it was made.
+    pub at: Time,
+    /// It takes new work.
+    pub accepting: bool,
+}
+
+impl BackendState {
+    /// A backend server that has just come into use.
+    #[must_use]
+    pub fn new(backend: &Backend, now: Time) -> Self {
+        Self {
+            id: backend.id.clone(),
+            address: backend.address,
+            region: backend.region.clone(),
+            slots: backend.slots,
+            pool: Pool::new(backend.address),
+            draining: AtomicBool::new(backend.draining),
+            in_flight: AtomicU32::new(0),
+            alone: AtomicBool::new(false),
+            service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
+            since: AtomicU64::new(now.0),
+            health: Mutex::default(),
+            report: Mutex::new(Report {
+                accepting: true,
+                ..Report::default()
+            }),
+        }
+    }
+
+    /// Whether a setting describes this very backend server.
+    #[must_use]
+    pub fn is_same(&self, backend: &Backend) -> bool {
+        self.address == backend.address && self.slots == backend.slots && self.region == backend.region
+    }
+
+    /// Sets whether operators drain it. Coming back from a drain starts the ramp.
+    pub fn set_draining(&self, draining: bool, now: Time) {
+        let before = self.draining.swap(draining, Ordering::Relaxed);
+        if before && !draining {
+            self.since.store(now.0, Ordering::Relaxed);
+        }
+    }
+
+    /// The view that decisions are made from.
+    #[must_use]
+    pub fn view(&self, now: Time) -> BackendView {
+        let report = *self.report.lock();
+        BackendView {
+            slots: self.slots,
+            own_in_flight: self.in_flight.load(Ordering::Relaxed),
+            reported: report.in_flight,
+            reported_at: report.at,
+            service_time: Duration::from_micros(self.service_time_us.load(Ordering::Relaxed)),
+            open: self.is_open(now) && !self.alone.load(Ordering::Relaxed),
+            since: Time(self.since.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Whether new work may go there.
+    #[must_use]
+    pub fn is_open(&self, now: Time) -> bool {
+        !self.draining.load(Ordering::Relaxed)
+            && self.report.lock().accepting
+            && self.health.lock().is_open(now)
+    }
+
+    /// Counts a request as at work there until the guard is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>, now: Time, alone: bool) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        if alone {
+            self.alone.store(true, Ordering::Relaxed);
+        }
+        InFlight {
+            backend: Arc::clone(self),
+            began: now,
+            alone,
+        }
+    }
+
+    /// Requests from here at work there.
+    #[must_use]
+    pub fn own_in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Takes in an outcome. Returns whether it is newly ejected.
+    pub fn outcome(&self, good: bool, now: Time) -> bool {
+        let mut health = self.health.lock();
+        if good && health.failures == 0 {
+            return false;
+        }
+        let ejected = health.outcome(good, now);
+        if ejected {
+            self.since.store(now.0, Ordering::Relaxed);
+        }
+        ejected
+    }
+
+    /// Takes in what a probe saw. Returns whether that changes if new work goes there.
+    pub fn probed(&self, reachable: bool, now: Time) -> bool {
+        let mut health = self.health.lock();
+        let changed = health.probed_out == reachable;
+        health.probed_out = !reachable;
+        if changed && reachable {
+            self.since.store(now.0, Ordering::Relaxed);
+        }
+        changed
+    }
+
+    /// Takes in a load report if it is newer.
+    pub fn reported(&self, report: Report) {
+        let mut known = self.report.lock();
+        if report.at > known.at {
+            *known = report;
+        }
+    }
+
+    /// The newest load report.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        *self.report.lock()
+    }
+
+    fn observe_service_time(&self, took: Duration) {
+        let mean = self.service_time_us.load(Ordering::Relaxed);
+        let next = (mean * (MEAN_WEIGHT - 1) + micros(took)) / MEAN_WEIGHT;
+        self.service_time_us.store(next.max(1), Ordering::Relaxed);
+    }
+}
+
+/// A request at work on a backend server.
+#[derive(Debug)]
+pub struct InFlight {
+    backend: Arc<BackendState>,
+    began: Time,
+    alone: bool,
+}
+
+impl InFlight {
+    /// Where it runs.
+    #[must_use]
+    pub const fn backend(&self) -> &Arc<BackendState> {
+        &self.backend
+    }
+
+    /// Notes that the answer began, which tells the working time.
+    pub fn answered(&self, now: Time) {
+        self.backend.observe_service_time(now.since(self.began));
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.backend.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if self.alone {
+            self.backend.alone.store(false, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/forward/mod.rs
@@ -0,0 +1,10 @@
+//! From an admitted request to a backend server's answer.
+
+pub mod admission;
+pub mod attempt;
+pub mod backends;
+pub mod body;
+pub mod outbound;
+pub mod pool;
+pub mod quarantine;
+pub mod run;
--- /dev/null
+++ b/crates/burdock-node/src/forward/run.rs
@@ -0,0 +1,249 @@
+//! Running a request: admission, choice of region and backend server, retries and hedging.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::pick::{BackendView, pick};
+use burdock_decide::quarantine::Verdict;
+use burdock_decide::retry::{RetryView, may_retry};
+use burdock_decide::shift::draw_region;
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::hash::stable;
+
+use crate::forward::admission::Permit;
+use crate::forward::attempt::{Answered, Failed, attempt};
+use crate::forward::backends::BackendState;
+use crate::forward::body::RequestBody;
+use crate::forward::outbound::Outbound;
+use crate::in_force::{RegionState, ServiceState};
+use crate::node::Node;
+use crate::observe::counters::Counter;
+
+/// The least time that an attempt is given.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(1);
+
+/// An answer under way, with what must be held until its end.
+#[derive(Debug)]
+pub struct Running {
+    /// The answer.
+    pub answered: Answered,
+    /// Leave to run.
+    pub permit: Permit,
+    /// The request is a suspect that runs alone.
+    pub alone: bool,
+}
+
+/// Runs a request on a backend server and returns the head of its answer.
+///
+/// # Errors
+/// A refusal that is true about whether the request ran.
+pub async fn run(node: &Arc<Node>, outbound: &Outbound, body: RequestBody) -> Result<Running> {
+    let alone = match node.quarantine.verdict(outbound.fingerprint, node.clock.now()) {
+        Verdict::Run => false,
+        Verdict::RunAlone => true,
+        Verdict::Refuse => {
+            node.counters.add(Counter::Quarantined);
+            return Err(Error::new(
+                ErrorKind::Quarantined,
+                "the request crashed several backend servers",
+            )
+            .hint("change the request; it is held back for a minute after its last crash"));
+        }
+    };
+    let service = service_of(outbound);
+    let (lane, weight) = lane(outbound);
+    let permit = service
+        .admission
+        .enter(lane, weight, outbound.deadline, node.clock)
+        .await?;
+    let answered = attempts(node, outbound, service, body, alone).await?;
+    Ok(Running {
+        answered,
+        permit,
+        alone,
+    })
+}
+
+/// The service that a request's route leads to.
+#[must_use]
+pub fn service_of(outbound: &Outbound) -> &ServiceState {
+    let route = &outbound.in_force.snapshot.routes[outbound.route];
+    &outbound.in_force.services[route.service]
+}
+
+// Callers of open routes share one lane. The hash of the name outlives a change of configuration.
+fn lane(outbound: &Outbound) -> (u64, u32) {
+    match &outbound.organisation {
+        Some((ix, name)) => (
+            stable(name.as_str().as_bytes(), 0),
+            outbound.in_force.snapshot.organisations[*ix].weight,
+        ),
+        None => (0, 1),
+    }
+}
+
+async fn attempts(
+    node: &Arc<Node>,
+    outbound: &Outbound,
+    service: &ServiceState,
+    body: RequestBody,
+    alone: bool,
+) -> Result<Answered> {
+    earn_budget(node, outbound);
+    let mut tried: Vec<Arc<BackendState>> = Vec::new();
+    let mut body = Some(body);
+    loop {
+        let copy = body.as_ref().and_then(RequestBody::copy);
+        let Some(sent) = body.take() else {
+            return Err(Error::from(ErrorKind::Internal));
+        };
+        let Some(backend) = choose(node, outbound, service, &tried, alone) else {
+            return Err(none_left(service));
+        };
+        tried.push(Arc::clone(&backend));
+        let result = hedged(node, outbound, service, &mut tried, &backend, sent, alone).await;
+        let failed = match result {
+            Ok(answered) => return Ok(answered),
+            Err(failed) => failed,
+        };
+        note_failure(node, outbound, &backend, &failed);
+        body = failed.body.or(copy);
+        let retry = RetryView {
+            progress: failed.progress,
+            repeatable: outbound.repeatable,
+            body_replayable: body.is_some(),
+            attempts: u8::try_from(tried.len()).unwrap_or(u8::MAX),
+            retries: outbound.policy.retries,
+            now: node.clock.now(),
+            deadline: outbound.deadline,
+            least_time: LEAST_ATTEMPT,
+        };
+        if !may_retry(&retry) {
+            return Err(failed.error);
+        }
+        if !spend_budget(node, outbound) {
+            node.counters.add(Counter::RetryBudgetSpent);
+            return Err(failed.error);
+        }
+        node.counters.add(Counter::Retries);
+    }
+}
+
+// A second copy goes out when the first has no answer after a while. The first answer wins; the other
+// attempt is dropped, which closes its connection and so cancels it.
+async fn hedged(
+    node: &Arc<Node>,
+    outbound: &Outbound,
+    service: &ServiceState,
+    tried: &mut Vec<Arc<BackendState>>,
+    backend: &Arc<BackendState>,
+    body: RequestBody,
+    alone: bool,
+) -> std::result::Result<Answered, Failed> {
+    let wait = outbound.policy.hedge_after.duration();
+    let copy = body
+        .copy()
+        .filter(|_| outbound.repeatable && !wait.is_zero() && !alone);
+    let Some(copy) = copy else {
+        return attempt(node, outbound, backend, body, alone).await;
+    };
+    let first = attempt(node, outbound, backend, body, alone);
+    tokio::pin!(first);
+    if let Ok(done) = tokio::time::timeout(wait, &mut first).await {
+        return done;
+    }
+    let second = choose(node, outbound, service, tried, alone).filter(|_| spend_budget(node, outbound));
+    let Some(second) = second else {
+        return first.await;
+    };
+    node.counters.add(Counter::Hedges);
+    tried.push(Arc::clone(&second));
+    let other = attempt(node, outbound, &second, copy, alone);
+    tokio::pin!(other);
+    tokio::select! {
+        done = &mut first => if done.is_ok() { done } else { other.await },
+        done = &mut other => if done.is_ok() { done } else { first.await },
+    }
+}
+
+fn choose(
+    node: &Node,
+    outbound: &Outbound,
+    service: &ServiceState,
+    tried: &[Arc<BackendState>],
+    alone: bool,
+) -> Option<Arc<BackendState>> {
+    let _span = outbound.trace.hop("pick");
+    let split = service.split.load();
+    let drawn = draw_region(&split.parts, rand::random());
+    let home = service.regions.iter().position(|r| r.local);
+    let ix = if outbound.policy.spill { drawn } else { home };
+    let region = service.regions.get(ix?)?;
+    choose_in(node, region, tried, alone)
+}
+
+fn choose_in(
+    node: &Node,
+    region: &RegionState,
+    tried: &[Arc<BackendState>],
+    alone: bool,
+) -> Option<Arc<BackendState>> {
+    let now = node.clock.now();
+    let views: Vec<BackendView> = region
+        .backends
+        .iter()
+        .map(|b| view_for(b.view(now), alone))
+        .collect();
+    let is_tried = |b: &Arc<BackendState>| tried.iter().any(|t| t.id == b.id);
+    let excluded: Vec<usize> = (0..views.len())
+        .filter(|ix| is_tried(&region.backends[*ix]))
+        .collect();
+    pick(&views, &excluded, rand::random(), now).map(|ix| Arc::clone(&region.backends[ix]))
+}
+
+// A suspect goes only where nothing else of this instance runs.
+const fn view_for(view: BackendView, alone: bool) -> BackendView {
+    let open = view.open && (!alone || view.own_in_flight == 0);
+    BackendView { open, ..view }
+}
+
+fn none_left(service: &ServiceState) -> Error {
+    Error::new(
+        ErrorKind::NoBackend,
+        format!("no backend server of `{}` takes work now", service.name),
+    )
+    .hint("`burdockctl status` shows which are drained or out")
+}
+
+fn note_failure(node: &Node, outbound: &Outbound, backend: &BackendState, failed: &Failed) {
+    use burdock_decide::retry::Progress;
+    let now = node.clock.now();
+    // A shed answer is a sign of load, not of ill health; a slow one has used up the caller's time.
+    let ill = match failed.progress {
+        Progress::Shed => false,
+        Progress::NotWritten => failed.error.kind != ErrorKind::DeadlineBefore,
+        Progress::Written => failed.error.kind == ErrorKind::BadAnswer,
+    };
+    if ill && backend.outcome(false, now) {
+        node.counters.add(Counter::Ejections);
+        log::warn!("backend server {} ejected: {}", backend.id, failed.error.detail);
+    }
+    if failed.crashed && node.quarantine.crashed(outbound.fingerprint, &backend.id, now) {
+        node.counters.add(Counter::Strikes);
+        log::warn!(
+            "backend server {} died on request {:?}",
+            backend.id,
+            outbound.request_id
+        );
+    }
+}
+
+fn earn_budget(node: &Node, outbound: &Outbound) {
+    node.limits
+        .retry_budget(outbound.organisation_name(), |budget| budget.earn());
+}
+
+fn spend_budget(node: &Node, outbound: &Outbound) -> bool {
+    node.limits
+        .retry_budget(outbound.organisation_name(), |budget| budget.spend())
+}
--- a/crates/burdock-node/src/lib.rs
+++ b/crates/burdock-node/src/lib.rs
@@ -1,1 +1,21 @@
-//! node
+//! The entry instance: listeners, sharded state, forwarding and administration.
+//!
+//! Decisions are made by `burdock-decide`; this package gathers what they are made from and applies them.
+
+pub mod admin;
+pub mod cli;
+pub mod clock;
+pub mod demo;
+pub mod entry;
+pub mod fleet;
+pub mod forward;
+pub mod in_force;
+pub mod limits;
+pub mod node;
+pub mod observe;
+pub mod once;
+pub mod peers;
+pub mod settings;
+pub mod shards;
+pub mod shutdown;
+pub mod start;
--- a/crates/burdock-node/src/main.rs
+++ b/crates/burdock-node/src/main.rs
@@ -1,1 +1,5 @@
-fn main() {}
+//! The entry instance.
+
+fn main() -> std::process::ExitCode {
+    burdock_node::cli::main()
+}
--- /dev/null
+++ b/crates/burdock-node/src/node.rs
@@ -0,0 +1,190 @@
+//! What all parts of one instance share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use burdock_decide::time::Time;
+use burdock_model::ids::{Incarnation, Life, Revision};
+use burdock_platform::budget::CallBudget;
+use burdock_platform::store::Store;
+use burdock_wire::client::Peers;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::fleet::install::ConfigState;
+use crate::forward::quarantine::Quarantine;
+use crate::in_force::InForce;
+use crate::limits::Limits;
+use crate::observe::counters::Counters;
+use crate::once::OnceTable;
+use crate::settings::InstanceSettings;
+
+/// How far an instance is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Phase {
+    /// It has no configuration yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It is out of steering answers and still serves.
+    Draining,
+    /// It refuses new work.
+    Finishing,
+}
+
+/// One running instance.
+#[derive(Debug)]
+pub struct Node {
+    /// Its settings.
+    pub settings: InstanceSettings,
+    /// Its life.
+    pub life: Life,
+    /// Its clock.
+    pub clock: Clock,
+    /// The configuration in force, with what belongs to it.
+    pub in_force: ArcSwap<InForce>,
+    /// Tells streams that the configuration changed.
+    pub revision: watch::Sender<Revision>,
+    /// The head and blobs that it can pass on.
+    pub config: ConfigState,
+    /// The other instances.
+    pub fleet: Fleet,
+    /// Rates and bursts.
+    pub limits: Limits,
+    /// Requests that may not be repeated.
+    pub once: OnceTable,
+    /// Requests that crash backend servers.
+    pub quarantine: Quarantine,
+    /// The platform's store.
+    pub store: Store,
+    /// Calls made to it.
+    pub store_calls: Arc<CallBudget>,
+    /// Calls to other instances.
+    pub peers: Peers,
+    /// Counters.
+    pub counters: Counters,
+    phase: AtomicU8,
+    in_flight: AtomicUsize,
+    last_request: AtomicU64,
+    bytes_per_request: AtomicU64,
+}
+
+/// What a node is made from.
+#[derive(Debug)]
+pub struct NodeParts {
+    /// Its settings.
+    pub settings: InstanceSettings,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The store.
+    pub store: Store,
+    /// Counts calls to the store.
+    pub store_calls: Arc<CallBudget>,
+    /// Calls other instances.
+    pub peers: Peers,
+}
+
+impl Node {
+    /// A node that has no configuration yet.
+    #[must_use]
+    pub fn new(parts: NodeParts) -> Self {
+        let life = Life {
+            instance: parts.settings.instance.clone(),
+            incarnation: parts.incarnation,
+        };
+        let clock = Clock::start();
+        let fleet = Fleet::new(&life, &parts.settings, clock.now());
+        Self {
+            life,
+            clock,
+            in_force: ArcSwap::from_pointee(InForce::empty()),
+            revision: watch::Sender::new(Revision(0)),
+            config: ConfigState::default(),
+            fleet,
+            limits: Limits::default(),
+            once: OnceTable::default(),
+            quarantine: Quarantine::default(),
+            store: parts.store,
+            store_calls: parts.store_calls,
+            peers: parts.peers,
+            counters: Counters::default(),
+            phase: AtomicU8::new(Phase::Starting as u8),
+            in_flight: AtomicUsize::new(0),
+            last_request: AtomicU64::new(0),
+            bytes_per_request: AtomicU64::new(0),
+            settings: parts.settings,
+        }
+    }
+
+    /// How far it is in its life.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            _ => Phase::Finishing,
+        }
+    }
+
+    /// Goes on to a phase. It never goes back.
+    pub fn advance(&self, phase: Phase) {
+        let before = self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        if before < phase as u8 {
+            log::info!("phase: {phase:?}");
+        }
+    }
+
+    /// Requests at work.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// When the last request came.
+    #[must_use]
+    pub fn last_request(&self) -> Time {
+        Time(self.last_request.load(Ordering::Relaxed))
+    }
+
+    /// Mean bytes of a request's and an answer's body together.
+    #[must_use]
+    pub fn bytes_per_request(&self) -> u64 {
+        self.bytes_per_request.load(Ordering::Relaxed)
+    }
+
+    /// Takes the bytes of one request and its answer into the mean.
+    pub fn observe_bytes(&self, bytes: u64) {
+        const MEAN_WEIGHT: u64 = 16;
+        let mean = self.bytes_per_request();
+        self.bytes_per_request.store(
+            (mean * (MEAN_WEIGHT - 1) + bytes) / MEAN_WEIGHT,
+            Ordering::Relaxed,
+        );
+    }
+
+    /// Counts a request as at work until the returned guard is dropped.
+    #[must_use]
+    pub fn begin_request(self: &Arc<Self>, now: Time) -> AtWork {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.last_request.store(now.0, Ordering::Relaxed);
+        AtWork {
+            node: Arc::clone(self),
+        }
+    }
+}
+
+/// A request at work.
+#[derive(Debug)]
+pub struct AtWork {
+    node: Arc<Node>,
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/peers.rs
@@ -0,0 +1,175 @@
+//! Answering other instances.
+
+use std::sync::Arc;
+
+use burdock_decide::once::OnceKey;
+use burdock_decide::time::Time;
+use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::ids::OrganisationName;
+use burdock_model::snapshot::Snapshot;
+use burdock_wire::messages::{Hello, Loan, RelayedRequest, WholeAnswer};
+use burdock_wire::server::{Handler, Handlers};
+use bytes::Bytes;
+use futures::FutureExt;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use std::time::Duration;
+
+use crate::fleet::{exchange, install};
+use crate::forward::outbound::Outbound;
+use crate::limits::keeper::acting_answer;
+use crate::node::{Node, Phase};
+use crate::observe::counters::Counter;
+use crate::observe::trace::Trace;
+use crate::once::handle::run_here;
+
+/// The hello of an instance.
+#[must_use]
+pub fn hello(node: &Node) -> Hello {
+    Hello {
+        life: node.life.clone(),
+        region: node.settings.region.clone(),
+        zone: node.settings.zone.clone(),
+    }
+}
+
+/// What answers each call of another instance.
+#[must_use]
+pub fn handlers(node: &Arc<Node>) -> Handlers {
+    Handlers {
+        hello: hello(node),
+        exchange: on(node, async |node, theirs| Ok(exchange::answer(&node, &theirs))),
+        configuration: on(node, async |node, names: Vec<String>| {
+            Ok(node.config.configuration(&names))
+        }),
+        head_changed: on(node, async |node, (revision, sender)| {
+            tokio::spawn(async move { install::reach_from(&node, revision, &sender).await });
+            Ok(())
+        }),
+        announce_change: on(node, async |node, _change| {
+            node.fleet.promise_change(node.clock.now());
+            Ok(true)
+        }),
+        shares: on(node, async |node, ()| Ok(node.limits.records.all())),
+        acting_shares: on(node, async |node, bucket| Ok(acting_answer(&node, bucket))),
+        lend: on(node, async |node, (organisation, wanted): (String, u32)| {
+            lend(&node, &organisation, wanted)
+        }),
+        relay: on(node, async |node, req| relayed(&node, req).await),
+        hand_over: on(node, async |node, (left, records)| {
+            // An instance that leaves itself takes nothing over.
+            let takes = node.phase() < Phase::Draining;
+            if takes {
+                node.once.import(left, records, node.clock.now());
+            }
+            Ok(takes)
+        }),
+    }
+}
+
+fn on<A, R, F, Fut>(node: &Arc<Node>, f: F) -> Handler<A, R>
+where
+    F: Fn(Arc<Node>, A) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<R>> + Send + 'static,
+{
+    let node = Arc::clone(node);
+    Arc::new(move |arg| f(Arc::clone(&node), arg).boxed())
+}
+
+fn lend(node: &Node, organisation: &str, wanted: u32) -> Result<Loan> {
+    let now = node.clock.now();
+    let name = OrganisationName::new(organisation)?;
+    // Out of contact, another instance may hold this share by now.
+    let may = now < node.fleet.contact(now).serve_until
+        && node
+            .in_force
+            .load()
+            .snapshot
+            .organisation_named(organisation)
+            .is_some();
+    if !may {
+        return Ok(Loan {
+            refused: true,
+            ..Loan::default()
+        });
+    }
+    let (granted, left) = node.limits.lend(&name, wanted, now);
+    node.counters.add_many(Counter::TokensLent, u64::from(granted));
+    Ok(Loan {
+        granted,
+        left,
+        refused: false,
+    })
+}
+
+// Runs a request whose key was checked by the instance that relays it. The organisation must still exist
+// here, and this instance must own the key or answer for its owner.
+async fn relayed(node: &Arc<Node>, req: RelayedRequest) -> Result<WholeAnswer> {
+    let now = node.clock.now();
+    if now >= node.fleet.contact(now).serve_until {
+        return Err(Error::from(ErrorKind::Isolated));
+    }
+    if req.owner != node.life && !node.once.answers_for(&req.owner) {
+        return Err(Error::new(
+            ErrorKind::OwnerGone,
+            format!("`{}` is not here", req.owner),
+        ));
+    }
+    if node.phase() >= Phase::Finishing {
+        return Err(Error::new(
+            ErrorKind::OwnerGone,
+            "the owner is shutting down; this attempt did not run",
+        ));
+    }
+    let key = OnceKey::new(&req.organisation, &req.idempotency_key);
+    let mut outbound = outbound(node, &req, now)?;
+    let body = Bytes::from(req.body);
+    outbound.identify(Some(&body), Some(&req.idempotency_key));
+    let _at_work = node.begin_request(now);
+    let answer = run_here(node, outbound, key, &req.owner, body).await?;
+    Ok(Arc::unwrap_or_clone(answer))
+}
+
+fn outbound(node: &Node, req: &RelayedRequest, now: Time) -> Result<Outbound> {
+    let in_force = node.in_force.load_full();
+    let snapshot = &in_force.snapshot;
+    let malformed = |what: &str| Error::new(ErrorKind::BadRequest, format!("relayed request: {what}"));
+    let organisation = organisation(snapshot, &req.organisation)?;
+    let target: http::Uri = req.target.parse().map_err(|_unparsed| malformed("target"))?;
+    let host = req.host.split(':').next().filter(|h| !h.is_empty());
+    let route = snapshot.route(host, target.path()).ok_or(ErrorKind::NoRoute)?;
+    let policy = Arc::clone(snapshot.policy(organisation.as_ref().map(|(ix, _)| *ix), route));
+    if !policy.allow {
+        return Err(Error::from(ErrorKind::RouteForbidden));
+    }
+    let mut headers = HeaderMap::new();
+    for (name, value) in &req.headers {
+        let name = HeaderName::try_from(name.as_str()).map_err(|_invalid| malformed("header"))?;
+        headers.append(
+            name,
+            HeaderValue::from_bytes(value).map_err(|_invalid| malformed("header"))?,
+        );
+    }
+    let method = Method::from_bytes(req.method.as_bytes()).map_err(|_invalid| malformed("method"))?;
+    Ok(Outbound {
+        fingerprint: 0,
+        repeatable: snapshot.routes[route].is_repeatable(method.as_str()),
+        route,
+        organisation,
+        policy,
+        method,
+        target,
+        headers,
+        deadline: now + Duration::from_millis(u64::from(req.remaining_ms)),
+        request_id: HeaderValue::from_str(&req.request_id).map_err(|_invalid| malformed("request id"))?,
+        trace: Trace::begin(Some(req.traceparent.as_str()).filter(|t| !t.is_empty()), false),
+        in_force,
+    })
+}
+
+fn organisation(snapshot: &Snapshot, name: &str) -> Result<Option<(usize, OrganisationName)>> {
+    if name.is_empty() {
+        return Ok(None);
+    }
+    let ix = snapshot.organisation_named(name).ok_or(ErrorKind::KeyRefused)?;
+    Ok(Some((ix, snapshot.organisations[ix].name.clone())))
+}
--- /dev/null
+++ b/crates/burdock-node/src/shards.rs
@@ -0,0 +1,40 @@
+//! State that several threads touch, cut into shards that each have their own lock.
+
+use parking_lot::{Mutex, MutexGuard};
+
+/// Shards of one table: well above the number of threads, so that two rarely meet.
+const SHARDS: usize = 64;
+
+/// A fixed array of shards.
+#[derive(Debug)]
+pub struct Sharded<T> {
+    shards: Box<[Mutex<T>]>,
+}
+
+impl<T: Default> Default for Sharded<T> {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+        }
+    }
+}
+
+impl<T> Sharded<T> {
+    /// Locks the shard that a hash falls to. The guard must not be held over an await.
+    ///
+    /// ```
+    /// use burdock_node::shards::Sharded;
+    /// let counts: Sharded<u32> = Sharded::default();
+    /// *counts.lock(7) += 1;
+    /// assert_eq!(counts.each().map(|shard| *shard).sum::<u32>(), 1);
+    /// ```
+    pub fn lock(&self, hash: u64) -> MutexGuard<'_, T> {
+        let ix = usize::try_from(hash % self.shards.len() as u64).unwrap_or(0);
+        self.shards[ix].lock()
+    }
+
+    /// Locks each shard in turn.
+    pub fn each(&self) -> impl Iterator<Item = MutexGuard<'_, T>> {
+        self.shards.iter().map(Mutex::lock)
+    }
+}
--- a/crates/burdock-platform/src/config.rs
+++ b/crates/burdock-platform/src/config.rs
@@ -10,10 +10,10 @@
 use crate::store::{Store, StoreError};
 
 /// Key of the head.
-pub const HEAD_KEY: &str = "cfg/head";
+pub const HEAD_KEY: &str = "fleet/head";
 
 /// Prefix of blobs.
-pub const BLOB_PREFIX: &str = "cfg/blob/";
+pub const BLOB_PREFIX: &str = "blob/";
 
 /// Attempts to settle a write whose answer was lost.
 const SETTLE_ATTEMPTS: u32 = 5;
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -19,6 +19,9 @@
   heartbeat @2 :UInt64;
   leaving @3 :Bool;
   changePending @4 :Bool;
+  # How long ago its origin made it, at least as the sender knows.
+  ageMs @5 :UInt32;
+  revision @6 :UInt64;
 }
 
 struct BackendLoad {
@@ -39,6 +42,12 @@
   successor @1 :Life;
 }
 
+struct Split {
+  service @0 :Text;
+  # One number for each region of the service in order of name.
+  perMillion @1 :List(UInt32);
+}
+
 struct Exchange {
   sender @0 :Life;
   heartbeats @1 :List(Heartbeat);
@@ -51,6 +60,7 @@
   loads @6 :List(BackendLoad);
   strikes @7 :List(Strike);
   successions @8 :List(Succession);
+  splits @9 :List(Split);
 }
 
 struct Blob {
@@ -131,7 +141,7 @@
   # Blobs that the caller lacks are named; with none named only the head is sent.
   configuration @2 (blobs :List(Text)) -> (configuration :Configuration);
   # A newer head exists.
-  headChanged @3 (revision :UInt64) -> ();
+  headChanged @3 (revision :UInt64, sender :Text) -> ();
   # A change is about to be written. The answer is a promise to treat contact as lost until it is settled.
   announceChange @4 (change :Text) -> (promised :Bool);
   shares @5 () -> (buckets :List(ShareBucket));
--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use burdock_model::error::Error;
@@ -14,7 +14,7 @@
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, Shared};
 use tokio::net::TcpStream;
-use tokio::sync::{Mutex, Semaphore, oneshot};
+use tokio::sync::{Semaphore, oneshot};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::convert;
@@ -116,9 +116,11 @@
     /// # Errors
     /// When the other instance does not answer in time.
     pub async fn head_changed(&self, to: &PeerAddress, revision: Revision) -> Result<(), PeerError> {
+        let sender = self.hello.life.instance.clone();
         self.call(to, CALL_LIMIT, move |client| async move {
             let mut req = client.head_changed_request();
             req.get().set_revision(revision.0);
+            req.get().set_sender(sender.as_str());
             req.send().promise.await.map(|_| ())
         })
         .await
@@ -239,7 +241,7 @@
         F: FnOnce(peer::Client) -> Fut + Send + 'static,
         Fut: Future<Output = capnp::Result<T>> + 'static,
     {
-        let room = self.room(to.address).await;
+        let room = self.room(to.address);
         let Ok(_permit) = room.try_acquire() else {
             return Err(PeerError::NotSent(format!(
                 "{MAX_CALLS_PER_PEER} calls to `{}` wait already",
@@ -268,8 +270,8 @@
             .unwrap_or_else(|_closed| Err(PeerError::Lost("the session thread ended".to_owned())))
     }
 
-    async fn room(&self, address: SocketAddr) -> Arc<Semaphore> {
-        let mut rooms = self.rooms.lock().await;
+    fn room(&self, address: SocketAddr) -> Arc<Semaphore> {
+        let mut rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(
             rooms
                 .entry(address)
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -1,8 +1,10 @@
 //! Conversion between messages and their encoding.
 
 use burdock_model::error::{Error, ErrorKind};
-use burdock_model::fleet::{BackendLoad, Heartbeat, Strike, Succession};
-use burdock_model::ids::{BackendId, Incarnation, InstanceId, Life, RegionName, Revision, ZoneName};
+use burdock_model::fleet::{BackendLoad, Heartbeat, Split, Strike, Succession};
+use burdock_model::ids::{
+    BackendId, Incarnation, InstanceId, Life, RegionName, Revision, ServiceName, ZoneName,
+};
 use capnp::Result;
 use capnp::message::ReaderOptions;
 use capnp::{Error as WireError, text};
@@ -84,12 +86,32 @@
         to.set_backend(strike.backend.as_str());
         to.set_age_ms(strike.age_ms);
     }
-    let mut list = to.init_successions(count(&exchange.successions));
+    let mut list = to.reborrow().init_successions(count(&exchange.successions));
     for (ix, succession) in (0..).zip(&exchange.successions) {
         let mut to = list.reborrow().get(ix);
         write_life(&succession.left, to.reborrow().init_left());
         write_life(&succession.successor, to.init_successor());
     }
+    let mut list = to.init_splits(count(&exchange.splits));
+    for (ix, split) in (0..).zip(&exchange.splits) {
+        write_split(split, list.reborrow().get(ix));
+    }
+}
+
+fn write_split(split: &Split, mut to: wire::split::Builder<'_>) {
+    to.set_service(split.service.as_str());
+    let mut list = to.init_per_million(count(&split.per_million));
+    for (ix, part) in (0..).zip(&split.per_million) {
+        list.set(ix, *part);
+    }
+}
+
+fn read_split(from: wire::split::Reader<'_>) -> Result<Split> {
+    let service = ServiceName::new(str_of(from.get_service()?)?).map_err(|e| malformed(&e))?;
+    Ok(Split {
+        service,
+        per_million: from.get_per_million()?.iter().collect(),
+    })
 }
 
 pub fn read_exchange(from: wire::exchange::Reader<'_>) -> Result<Exchange> {
@@ -111,6 +133,7 @@
             .iter()
             .map(read_succession)
             .collect::<Result<_>>()?,
+        splits: from.get_splits()?.iter().map(read_split).collect::<Result<_>>()?,
     })
 }
 
@@ -120,6 +143,8 @@
     to.set_heartbeat(beat.heartbeat);
     to.set_leaving(beat.leaving);
     to.set_change_pending(beat.change_pending);
+    to.set_age_ms(beat.age_ms);
+    to.set_revision(beat.revision.0);
 }
 
 fn read_heartbeat(from: wire::heartbeat::Reader<'_>) -> Heartbeat {
@@ -129,6 +154,8 @@
         heartbeat: from.get_heartbeat(),
         leaving: from.get_leaving(),
         change_pending: from.get_change_pending(),
+        age_ms: from.get_age_ms(),
+        revision: Revision(from.get_revision()),
     }
 }
 
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use burdock_model::error::{Error, ErrorKind};
-use burdock_model::fleet::{BackendLoad, Heartbeat, Strike, Succession};
+use burdock_model::fleet::{BackendLoad, Heartbeat, Split, Strike, Succession};
 use burdock_model::ids::{InstanceId, Life, RegionName, Revision, ZoneName};
 
 /// The version of the protocol that this program speaks. Another version is refused at the hello.
@@ -53,6 +53,8 @@
     pub strikes: Vec<Strike>,
     /// Instances that left, with their successors.
     pub successions: Vec<Succession>,
+    /// How the sender splits traffic over regions.
+    pub splits: Vec<Split>,
 }
 
 /// A head with some of its blobs.
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use burdock_model::error::{Error, Result};
-use burdock_model::ids::{Life, Revision};
+use burdock_model::ids::{InstanceId, Life, Revision};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -35,8 +35,8 @@
     pub exchange: Handler<Exchange, Exchange>,
     /// The head and the named blobs.
     pub configuration: Handler<Vec<String>, Configuration>,
-    /// A newer head exists.
-    pub head_changed: Handler<Revision, ()>,
+    /// A newer head exists, as that instance tells.
+    pub head_changed: Handler<(Revision, InstanceId), ()>,
     /// A change is about to be written.
     pub announce_change: Handler<String, bool>,
     /// All share records.
@@ -165,8 +165,14 @@
         params: peer::HeadChangedParams,
         _: peer::HeadChangedResults,
     ) -> capnp::Result<()> {
-        let revision = Revision(params.get()?.get_revision());
-        self.run(&self.handlers.head_changed, revision).await
+        let params = params.get()?;
+        let sender =
+            InstanceId::new(convert::str_of(params.get_sender()?)?).map_err(|e| failed(&e.to_string()))?;
+        self.run(
+            &self.handlers.head_changed,
+            (Revision(params.get_revision()), sender),
+        )
+        .await
     }
 
     async fn announce_change(
