Test the whole path with separate processes; add burdockctl

Cause: the path had only been tried by hand. An accepted change now waits up to 500 ms for the watchers to have it in force: a key used right after its issue had been refused by another instance.

--- a/crates/burdock-ctl/src/main.rs
+++ b/crates/burdock-ctl/src/main.rs
@@ -1,3 +1,11 @@
 //! The operators' command line.
 
-fn main() {}
+mod cli;
+mod client;
+mod commands;
+mod load;
+mod print;
+
+fn main() -> std::process::ExitCode {
+    cli::main()
+}
--- a/crates/burdock-node/src/admin/change.rs
+++ b/crates/burdock-node/src/admin/change.rs
@@ -114,7 +114,7 @@
         wish.path
     );
     install::install_stored(node, head).await?;
-    watch::tell_fleet(node, revision);
+    watch::tell_fleet(node, revision).await;
     collect_in_background(node);
     Ok(Accepted { change: id, revision })
 }
--- a/crates/burdock-node/src/admin/router.rs
+++ b/crates/burdock-node/src/admin/router.rs
@@ -100,7 +100,6 @@
 }
 
 /// The API of an instance.
-#[must_use]
 pub fn router(node: &Arc<Node>) -> Router {
     // Beyond its room the API refuses at once rather than queueing.
     let guard = ServiceBuilder::new()
--- a/crates/burdock-node/src/fleet/watch.rs
+++ b/crates/burdock-node/src/fleet/watch.rs
@@ -10,6 +10,8 @@
 use burdock_platform::store::Watch;
 use burdock_wire::messages::{PeerAddress, ShareBucket};
 
+use tokio::task::JoinHandle;
+
 use crate::fleet::{Entry, install};
 use crate::limits::records::{self, SHARES_PREFIX};
 use crate::node::{Node, Phase};
@@ -26,6 +28,9 @@
 /// How often an instance that does not watch looks whether it should.
 const STANDBY: Duration = Duration::from_millis(500);
 
+/// How long an accepted change waits for others to have it in force before its operator is answered.
+const ACCEPT_WAIT: Duration = Duration::from_millis(500);
+
 /// Time between two readings of the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_millis(2000);
 
@@ -61,12 +66,13 @@
 pub fn pass_on(node: &Arc<Node>, revision: Revision) {
     if is_watcher(node) {
         let zone = node.settings.zone.clone();
-        tell(node, revision, |e| e.zone == zone);
+        let _in_background = tell(node, revision, |e| e.zone == zone);
     }
 }
 
-/// Tells the watchers of every zone, and the own zone, that a revision was accepted here.
-pub fn tell_fleet(node: &Arc<Node>, revision: Revision) {
+/// Tells the watchers of every zone, and the own zone, that a revision was accepted here, and waits a
+/// moment for them to have it in force.
+pub async fn tell_fleet(node: &Arc<Node>, revision: Revision) {
     let members = node.fleet.members();
     let zones: std::collections::BTreeSet<_> = members.iter().map(|m| m.zone.clone()).collect();
     let told: Vec<_> = zones
@@ -75,23 +81,29 @@
         .map(|m| m.id.clone())
         .collect();
     let own_zone = node.settings.zone.clone();
-    tell(node, revision, |e| {
+    let telling = tell(node, revision, |e| {
         e.zone == own_zone || told.contains(&e.life.instance)
     });
+    // Who is slower has it a little later, by this message or by the next round.
+    let _late = tokio::time::timeout(ACCEPT_WAIT, futures::future::join_all(telling)).await;
 }
 
-fn tell(node: &Arc<Node>, revision: Revision, to: impl Fn(&Entry) -> bool) {
+// Who misses the message hears of the revision in the next round.
+fn tell(node: &Arc<Node>, revision: Revision, to: impl Fn(&Entry) -> bool) -> Vec<JoinHandle<()>> {
     let view = node.fleet.view();
     let behind = |e: &&Entry| e.life != node.life && e.revision < revision && e.standing != Standing::Suspect;
+    let mut telling = Vec::new();
     for entry in view.entries.iter().filter(behind).filter(|e| to(e)) {
         let peer = PeerAddress {
             id: entry.life.instance.clone(),
             address: entry.peer_address,
         };
         let node = Arc::clone(node);
-        // Who misses the message hears of the revision in the next round.
-        tokio::spawn(async move { node.peers.head_changed(&peer, revision).await });
+        telling.push(tokio::spawn(async move {
+            let _missed = node.peers.head_changed(&peer, revision).await;
+        }));
     }
+    telling
 }
 
 async fn watch_once(node: &Arc<Node>, index: u64) -> Result<u64> {
--- a/crates/burdock-node/src/observe/trace.rs
+++ b/crates/burdock-node/src/observe/trace.rs
@@ -35,7 +35,6 @@
     }
 
     /// A span for one hop. It ends when dropped.
-    #[must_use]
     pub fn hop(&self, name: &'static str) -> Span {
         self.root
             .as_ref()
--- a/crates/burdock-node/src/peers.rs
+++ b/crates/burdock-node/src/peers.rs
@@ -42,7 +42,7 @@
             Ok(node.config.configuration(&names))
         }),
         head_changed: on(node, async |node, (revision, sender)| {
-            tokio::spawn(async move { install::reach_from(&node, revision, &sender).await });
+            install::reach_from(&node, revision, &sender).await;
             Ok(())
         }),
         announce_change: on(node, async |node, _change| {
--- /dev/null
+++ b/crates/burdock-node/tests/processes.rs
@@ -0,0 +1,252 @@
+//! The whole path as separate processes, with kills, freezes and outages.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::Method;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use support::Cluster;
+
+const ORGANISATION: &str = "zemgale-probes";
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_and_a_changed_setting_is_in_force_everywhere() {
+    let cluster = Cluster::start(2, 2).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let headers = [("x-api-key", key.as_str())];
+
+    let steer = cluster
+        .get(0, "/.burdock/v1/steer?service=quotes", &headers)
+        .await
+        .unwrap();
+    expect_that!(steer.status, eq(200));
+    expect_that!(steer.json()["entries"].as_array().unwrap().len(), eq(2));
+
+    let answer = cluster.get(0, "/quotes/1?a=1", &headers).await.unwrap();
+    expect_that!(answer.status, eq(200));
+    let echo = answer.json();
+    expect_that!(echo["headers"]["burdock-organisation"], eq(&json!(ORGANISATION)));
+    expect_that!(echo["headers"].get("x-api-key"), none());
+    expect_that!(answer.headers.get("burdock-request-id").is_some(), eq(true));
+
+    let path = format!("/v1/tree/organisations/{ORGANISATION}/settings");
+    let change = cluster
+        .admin(0, Method::PATCH, &path, json!({"allow": false}))
+        .await
+        .unwrap();
+    expect_that!(change.status, eq(200));
+    for ix in 0..2 {
+        cluster
+            .wait_for(async || cluster.get(ix, "/quotes/1", &headers).await.unwrap().status == 403)
+            .await;
+    }
+    let id = change.json()["change"].as_str().unwrap().to_owned();
+    cluster
+        .wait_for(async || {
+            let told = cluster
+                .admin(1, Method::GET, &format!("/v1/changes/{id}"), json!(null))
+                .await
+                .unwrap()
+                .json();
+            told["confirmed"].as_array().is_some_and(|c| c.len() == 2)
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_run_at_most_once_when_an_instance_is_killed() {
+    let mut cluster = Cluster::start(3, 3).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let mut answers: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for n in 0..60 {
+        if n == 20 {
+            cluster.kill(0);
+        }
+        let once = format!("command-{n}");
+        let headers = [("x-api-key", key.as_str()), ("idempotency-key", once.as_str())];
+        // A caller that gets no answer, or a refusal, sends again to the next instance.
+        for attempt in 0..3 {
+            let ix = (n + attempt) % 3;
+            let answer = cluster.post(ix, "/valves/7?delay_ms=5", &headers, "open").await;
+            let told = answer.map_or_else(|| "no answer".to_owned(), |a| a.outcome().to_owned());
+            let done = told == "ran";
+            answers.entry(once.clone()).or_default().push(told);
+            if done {
+                break;
+            }
+        }
+    }
+    assert_told_the_truth(&cluster, &answers).await;
+    let ran = answers
+        .values()
+        .filter(|told| told.last().is_some_and(|t| t == "ran"))
+        .count();
+    expect_that!(ran, gt(40));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_owner_neither_doubles_a_command_nor_serves_a_withdrawn_key() {
+    let cluster = Cluster::start(3, 3).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let steer = cluster
+        .get(0, "/.burdock/v1/steer?service=valves", &[("x-api-key", &key)])
+        .await
+        .unwrap()
+        .json();
+    let of_first = |e: &&serde_json::Value| e["address"] == json!(cluster.instances[0].callers);
+    let entries = steer["entries"].as_array().unwrap();
+    let owner = entries.iter().find(of_first).unwrap()["incarnation"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    let once = format!("{owner}:irrigate");
+    let headers = [("x-api-key", key.as_str()), ("idempotency-key", once.as_str())];
+
+    let first = cluster.post(0, "/valves/7?delay_ms=400", &headers, "open");
+    let freeze = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        cluster.signal(0, Signal::SIGSTOP);
+        let resent = cluster
+            .post(1, "/valves/7?delay_ms=400", &headers, "open")
+            .await
+            .unwrap();
+        expect_that!(resent.outcome(), eq("unknown"));
+        let id = key.split('.').nth(1).unwrap();
+        let path = format!("/v1/organisations/{ORGANISATION}/keys/{id}");
+        cluster
+            .wait_for(async || {
+                cluster
+                    .admin(1, Method::DELETE, &path, json!(null))
+                    .await
+                    .unwrap()
+                    .status
+                    == 200
+            })
+            .await;
+        cluster
+            .wait_for(async || cluster.get(2, "/quotes/1", &headers[..1]).await.unwrap().status == 401)
+            .await;
+        // Longer than an instance out of contact serves.
+        tokio::time::sleep(Duration::from_millis(6000)).await;
+        cluster.signal(0, Signal::SIGCONT);
+        let after = cluster.get(0, "/quotes/1", &headers[..1]).await.unwrap();
+        expect_that!(after.status, any![eq(401), eq(503)]);
+        expect_that!(after.outcome(), eq("not-run"));
+    };
+    let (_first, ()) = tokio::join!(first, freeze);
+    let runs = cluster
+        .ran()
+        .await
+        .into_iter()
+        .filter(|r| r.idempotency_key == once)
+        .count();
+    expect_that!(runs, le(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_finishes_what_runs_and_hands_over_what_it_knew() {
+    let mut cluster = Cluster::start(3, 3).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let once = "handed-over";
+    let headers = [("x-api-key", key.as_str()), ("idempotency-key", once)];
+    let first = cluster.post(0, "/valves/7", &headers, "open").await.unwrap();
+    expect_that!(first.status, eq(200));
+
+    let slow = cluster.get(0, "/quotes/1?delay_ms=1000", &headers[..1]);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        cluster.signal(0, Signal::SIGTERM);
+    };
+    let (slow, ()) = tokio::join!(slow, stop);
+    expect_that!(slow.unwrap().status, eq(200));
+    let mut process = cluster.instances[0].process.take().unwrap();
+    let code = tokio::task::spawn_blocking(move || process.wait_end())
+        .await
+        .unwrap();
+    expect_that!(code, some(eq(0)));
+
+    let again = cluster.post(1, "/valves/7", &headers, "open").await.unwrap();
+    expect_that!(again.status, eq(200));
+    expect_that!(again.body, eq(&first.body));
+    let runs = cluster
+        .ran()
+        .await
+        .into_iter()
+        .filter(|r| r.idempotency_key == once)
+        .count();
+    expect_that!(runs, eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_outage_stops_neither_traffic_nor_a_restart() {
+    let mut cluster = Cluster::start(3, 3).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let headers = [("x-api-key", key.as_str()), ("idempotency-key", "in-an-outage")];
+    cluster.store_fault(json!({"down_ms": 600_000})).await;
+    tokio::time::sleep(Duration::from_millis(5000)).await;
+
+    expect_that!(
+        cluster.get(0, "/quotes/1", &headers[..1]).await.unwrap().status,
+        eq(200)
+    );
+    let claim = cluster.post(0, "/valves/7", &headers, "open").await.unwrap();
+    expect_that!((claim.status, claim.outcome()), eq((503, "not-run")));
+    let change = cluster
+        .admin(0, Method::PATCH, "/v1/tree/settings", json!({"retries": 1}))
+        .await
+        .unwrap();
+    expect_that!((change.status, change.outcome()), eq((503, "not-run")));
+
+    cluster.kill(2);
+    cluster.start_instance(2);
+    cluster.wait_ready(2).await;
+    cluster
+        .wait_for(async || cluster.get(2, "/quotes/1", &headers[..1]).await.unwrap().status == 200)
+        .await;
+
+    cluster.store_fault(json!({"down_ms": 0})).await;
+    cluster
+        .wait_for(async || {
+            cluster
+                .post(0, "/valves/7", &headers, "open")
+                .await
+                .unwrap()
+                .status
+                == 200
+        })
+        .await;
+    let runs = cluster
+        .ran()
+        .await
+        .into_iter()
+        .filter(|r| r.idempotency_key == "in-an-outage")
+        .count();
+    expect_that!(runs, eq(1));
+}
+
+/// What callers were told against what backend servers ran.
+async fn assert_told_the_truth(cluster: &Cluster, answers: &BTreeMap<String, Vec<String>>) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for ran in cluster.ran().await {
+        *runs.entry(ran.idempotency_key).or_default() += 1;
+    }
+    for (key, told) in answers {
+        let count = runs.get(key).copied().unwrap_or(0);
+        expect_that!(count, le(1), "{key} was told {told:?}");
+        if told.iter().any(|t| t == "ran") {
+            expect_that!(count, eq(1), "{key} was told {told:?}");
+        }
+        if told.iter().all(|t| t == "not-run") {
+            expect_that!(count, eq(0), "{key} was told {told:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -0,0 +1,429 @@
+//! Real binaries as separate processes on free loopback ports.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use burdock_standin::backend::Ran;
+use burdock_standin::sample::{self, SampleBackend, SampleKey, place};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+/// The longest that anything is waited for before a test fails.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+const TOKEN: &str = "0123456789abcdef0123456789abcdef";
+
+/// A child process that is killed by its id when dropped.
+pub struct Process {
+    child: Child,
+}
+
+/// A set of processes: a store, backend servers, instances.
+pub struct Cluster {
+    pub store: SocketAddr,
+    pub instances: Vec<Instance>,
+    pub backends: Vec<Backend>,
+    pub keys: Vec<SampleKey>,
+    http: Client<HttpConnector, Full<Bytes>>,
+    store_process: Process,
+    folder: tempfile::TempDir,
+}
+
+pub struct Instance {
+    pub id: String,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub admin: SocketAddr,
+    pub process: Option<Process>,
+    settings: PathBuf,
+    listed: Value,
+}
+
+pub struct Backend {
+    pub id: String,
+    pub address: SocketAddr,
+    pub control: SocketAddr,
+    process: Process,
+}
+
+/// An answer read in whole.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> &str {
+        self.headers
+            .get("burdock-outcome")
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("ran")
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+impl Process {
+    fn start(args: &[&str]) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_burdockd"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("burdockd starts");
+        Self { child }
+    }
+
+    /// The first line that the process prints, as JSON.
+    fn first_line(&mut self) -> Value {
+        let mut line = String::new();
+        let stdout = self.child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("a line is printed");
+        serde_json::from_str(&line).expect("the line is JSON")
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(
+            Pid::from_raw(i32::try_from(self.child.id()).expect("an id fits")),
+            signal,
+        )
+        .expect("the process is there");
+    }
+
+    pub fn wait_end(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the process did not end");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl Cluster {
+    /// Starts a store, `backends` of each service and `instances`, and waits until all are ready.
+    pub async fn start(instances: usize, backends: usize) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let http = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        let backends = start_backends(backends);
+        let listed: Vec<SampleBackend> = backends.iter().map(|(sample, _)| sample.clone()).collect();
+        let mut next = 0_u8;
+        let (tree, keys) = sample::tree(&listed, || {
+            next += 1;
+            [next; 32]
+        });
+        let tree_file = folder.path().join("tree.json");
+        std::fs::write(&tree_file, tree.to_string()).expect("the tree is written");
+        let mut store_process = Process::start(&[
+            "standin-store",
+            "--listen",
+            "127.0.0.1:0",
+            "--tree",
+            tree_file.to_str().expect("utf-8"),
+        ]);
+        let store = address(&store_process.first_line()["listen"]);
+        let instances = (0..instances)
+            .map(|ix| Instance::prepare(ix, store, folder.path()))
+            .collect();
+        let backends = backends.into_iter().map(|(_, backend)| backend).collect();
+        let mut cluster = Self {
+            store,
+            instances,
+            backends,
+            keys,
+            http,
+            store_process,
+            folder,
+        };
+        cluster.list_instances().await;
+        for ix in 0..cluster.instances.len() {
+            cluster.start_instance(ix);
+        }
+        for ix in 0..cluster.instances.len() {
+            cluster.wait_ready(ix).await;
+        }
+        cluster.wait_shares().await;
+        cluster
+    }
+
+    pub async fn list_instances(&self) {
+        let list: Vec<Value> = self.instances.iter().map(|i| i.listed.clone()).collect();
+        self.send(
+            self.store,
+            Method::PUT,
+            "/v1/instances",
+            &[("content-type", "application/json")],
+            json!(list).to_string(),
+        )
+        .await
+        .expect("the store takes the list");
+    }
+
+    pub fn start_instance(&mut self, ix: usize) {
+        let instance = &mut self.instances[ix];
+        let file = instance.settings.to_str().expect("utf-8").to_owned();
+        instance.process = Some(Process::start(&["run", "--settings", &file]));
+    }
+
+    pub fn signal(&self, ix: usize, signal: Signal) {
+        self.instances[ix]
+            .process
+            .as_ref()
+            .expect("it runs")
+            .signal(signal);
+    }
+
+    pub fn kill(&mut self, ix: usize) {
+        self.instances[ix].process = None;
+    }
+
+    pub async fn wait_ready(&self, ix: usize) {
+        self.wait_for(async || {
+            let answer = self.get(ix, "/.burdock/v1/health", &[]).await;
+            answer.is_some_and(|a| a.status == 200)
+        })
+        .await;
+    }
+
+    /// Waits until every live instance sees settled shares held by all of them.
+    pub async fn wait_shares(&self) {
+        let alive: Vec<usize> = (0..self.instances.len())
+            .filter(|ix| self.instances[*ix].process.is_some())
+            .collect();
+        for ix in &alive {
+            self.wait_for(async || {
+                let Some(status) = self.admin(*ix, Method::GET, "/v1/status", Value::Null).await else {
+                    return false;
+                };
+                let shares = status.json()["shares"].as_object().cloned().unwrap_or_default();
+                let settled = |s: &Value| {
+                    s["settled"] == true && s["holders"].as_array().is_some_and(|h| !h.is_empty())
+                };
+                shares.len() == sample::ORGANISATIONS.len() && shares.values().all(settled)
+            })
+            .await;
+        }
+    }
+
+    pub async fn wait_for(&self, mut done: impl AsyncFnMut() -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !done().await {
+            assert!(Instant::now() < end, "what was waited for did not come");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub fn key(&self, organisation: &str) -> &str {
+        &self
+            .keys
+            .iter()
+            .find(|k| k.organisation == organisation)
+            .expect("the organisation is there")
+            .key
+    }
+
+    pub async fn get(&self, ix: usize, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
+        self.send(
+            self.instances[ix].callers,
+            Method::GET,
+            path,
+            headers,
+            String::new(),
+        )
+        .await
+    }
+
+    pub async fn post(&self, ix: usize, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+        self.send(
+            self.instances[ix].callers,
+            Method::POST,
+            path,
+            headers,
+            body.to_owned(),
+        )
+        .await
+    }
+
+    pub async fn admin(&self, ix: usize, method: Method, path: &str, body: Value) -> Option<Answer> {
+        let bearer = format!("Bearer {TOKEN}");
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("content-type", "application/json"),
+        ];
+        self.send(self.instances[ix].admin, method, path, &headers, body.to_string())
+            .await
+    }
+
+    pub async fn store_fault(&self, fault: Value) {
+        let headers = [("content-type", "application/json")];
+        self.send(self.store, Method::POST, "/fault", &headers, fault.to_string())
+            .await
+            .expect("the store takes faults");
+    }
+
+    pub async fn backend_fault(&self, ix: usize, fault: Value) {
+        let headers = [("content-type", "application/json")];
+        self.send(
+            self.backends[ix].control,
+            Method::POST,
+            "/fault",
+            &headers,
+            fault.to_string(),
+        )
+        .await
+        .expect("the backend server takes faults");
+    }
+
+    /// Everything that ran on any backend server.
+    pub async fn ran(&self) -> Vec<Ran> {
+        let mut all = Vec::new();
+        for backend in &self.backends {
+            let answer = self
+                .send(backend.control, Method::GET, "/log", &[], String::new())
+                .await
+                .expect("a log");
+            all.extend(serde_json::from_slice::<Vec<Ran>>(&answer.body).expect("the log is JSON"));
+        }
+        all
+    }
+
+    /// Sends a request; `None` when no whole answer came.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Option<Answer> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(Bytes::from(body))).expect("a request");
+        let exchange = async {
+            let resp = self.http.request(req).await.ok()?;
+            let (parts, body) = resp.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(Answer {
+                status: parts.status.as_u16(),
+                headers: parts.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(PATIENCE, exchange).await.ok().flatten()
+    }
+}
+
+impl Instance {
+    fn prepare(ix: usize, store: SocketAddr, folder: &std::path::Path) -> Self {
+        let (region, zone) = place(ix);
+        let id = format!("{region}-{}", ix / sample::REGIONS.len() + 1);
+        let (callers, peers, admin) = (free_address(), free_address(), free_address());
+        let settings = json!({
+            "instance": id, "region": region, "zone": zone,
+            "listen": {"callers": callers, "peers": peers, "admin": admin},
+            "store": {"address": store, "time_limit": "500ms", "calls_per_second": 200},
+            "operators": {"tester": TOKEN},
+        });
+        let listed =
+            json!({"id": id, "address": callers, "peer_address": peers, "region": region, "zone": zone});
+        let file = folder.join(format!("{id}.jsonc"));
+        std::fs::write(&file, settings.to_string()).expect("settings are written");
+        Self {
+            id,
+            callers,
+            peers,
+            admin,
+            process: None,
+            settings: file,
+            listed,
+        }
+    }
+}
+
+fn start_backends(count: usize) -> Vec<(SampleBackend, Backend)> {
+    let mut started = Vec::new();
+    for service in sample::SERVICES {
+        for ix in 0..count {
+            let id = format!("{service}-{ix}");
+            let args = [
+                "standin-backend",
+                "--name",
+                &id,
+                "--listen",
+                "127.0.0.1:0",
+                "--control",
+                "127.0.0.1:0",
+            ];
+            let mut process = Process::start(&args);
+            let line = process.first_line();
+            let (region, zone) = place(ix);
+            let address = address(&line["listen"]);
+            let sample = SampleBackend {
+                id: id.clone(),
+                service,
+                region,
+                zone,
+                address,
+            };
+            let control = line["control"]
+                .as_str()
+                .expect("an address")
+                .parse()
+                .expect("an address");
+            started.push((
+                sample,
+                Backend {
+                    id,
+                    address,
+                    control,
+                    process,
+                },
+            ));
+        }
+    }
+    started
+}
+
+fn address(value: &Value) -> SocketAddr {
+    value.as_str().expect("an address").parse().expect("an address")
+}
+
+// The port is free when asked for; the process binds it a moment later.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("a free port")
+}
--- a/crates/burdock-standin/src/store.rs
+++ b/crates/burdock-standin/src/store.rs
@@ -158,12 +158,13 @@
             .route("/v1/watch", get(watch))
             .route("/v1/leases", post(grant))
             .route("/v1/leases/{id}/renew", post(renew))
-            .route("/v1/instances", get(instances).put(put_instances))
             .layer(from_fn_with_state(self.clone(), apply_faults));
+        // The list of instances is a service of its own, which the store's faults leave alone.
+        let list = Router::new().route("/v1/instances", get(instances).put(put_instances));
         let control = Router::new()
             .route("/fault", post(fault))
             .route("/calls", get(calls));
-        platform.merge(control).with_state(self.clone())
+        platform.merge(list).merge(control).with_state(self.clone())
     }
 }
 
