--- a/crates/burdock-ctl/src/cli.rs
+++ b/crates/burdock-ctl/src/cli.rs
@@ -36,11 +36,7 @@
 /// Exit codes: 0 done, 1 internal, 2 invalid, 3 refused, 4 not found, 5 conflict, 6 not now, 7 outcome
 /// unknown, 8 store down.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(
-    options,
-    version,
-    footer("Example: burdockctl set organisations/farm-dobele/settings/rate '\"5/s\"'")
-)]
+#[bpaf(options, version, footer("Example: burdockctl set organisations/farm-dobele/settings/rate '\"5/s\"'"))]
 pub struct Options {
     /// Address of the API, such as http://127.0.0.1:8082
     #[bpaf(long, env("BURDOCK_ADMIN"), argument("URL"), fallback("http://127.0.0.1:8082".to_owned()), display_fallback)]
@@ -239,10 +235,7 @@
 }
 
 fn execute(options: Options) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
     runtime.block_on(async move {
         if let Command::Load { load_settings } = options.command {
--- a/crates/burdock-ctl/src/client.rs
+++ b/crates/burdock-ctl/src/client.rs
@@ -37,13 +37,7 @@
     /// A call with a JSON body.
     pub fn json(method: Method, path: &'a str, body: Option<&Value>) -> Self {
         let body = body.map(|value| Bytes::from(value.to_string()));
-        Self {
-            method,
-            path,
-            body,
-            if_match: None,
-            content_type: "application/json",
-        }
+        Self { method, path, body, if_match: None, content_type: "application/json" }
     }
 }
 
@@ -51,11 +45,7 @@
     /// A client of the instance at a base address.
     pub fn new(base: &str, token: &str) -> Self {
         let http = HttpClient::builder(TokioExecutor::new()).build_http();
-        Self {
-            http,
-            base: base.trim_end_matches('/').to_owned(),
-            token: token.to_owned(),
-        }
+        Self { http, base: base.trim_end_matches('/').to_owned(), token: token.to_owned() }
     }
 
     /// Makes a call and gives its JSON answer.
@@ -64,10 +54,8 @@
     /// What the instance answered as a problem, or that it did not answer.
     pub async fn call(&self, call: Call<'_>) -> Result<Value> {
         let uri = format!("{}{}", self.base, call.path);
-        let mut req = Request::builder()
-            .method(call.method)
-            .uri(&uri)
-            .header(CONTENT_TYPE, call.content_type);
+        let mut req =
+            Request::builder().method(call.method).uri(&uri).header(CONTENT_TYPE, call.content_type);
         if !self.token.is_empty() {
             req = req.header(AUTHORIZATION, format!("Bearer {}", self.token));
         }
@@ -92,24 +80,15 @@
 }
 
 fn out_of_reach(uri: &str, e: &hyper_util::client::legacy::Error) -> Error {
-    let kind = if e.is_connect() {
-        ErrorKind::NoBackend
-    } else {
-        ErrorKind::ChangeUnknown
-    };
+    let kind = if e.is_connect() { ErrorKind::NoBackend } else { ErrorKind::ChangeUnknown };
     Error::new(kind, format!("{uri}: {e}")).hint("give the address of a running instance by --admin")
 }
 
 fn problem(status: u16, body: &[u8]) -> Error {
     let document: Value = serde_json::from_slice(body).unwrap_or_default();
     let text = |name: &str| document.get(name).and_then(Value::as_str);
-    let name = text("type")
-        .and_then(|t| t.rsplit(':').next())
-        .unwrap_or_default();
-    let kind = ErrorKind::ALL
-        .into_iter()
-        .find(|k| k.as_str() == name)
-        .unwrap_or(ErrorKind::Internal);
+    let name = text("type").and_then(|t| t.rsplit(':').next()).unwrap_or_default();
+    let kind = ErrorKind::ALL.into_iter().find(|k| k.as_str() == name).unwrap_or(ErrorKind::Internal);
     let plain = String::from_utf8_lossy(body).into_owned();
     let detail = text("detail").map_or_else(|| format!("status {status}: {plain}"), str::to_owned);
     let e = Error::new(kind, detail);
--- a/crates/burdock-ctl/src/commands.rs
+++ b/crates/burdock-ctl/src/commands.rs
@@ -18,43 +18,25 @@
 /// What the instance refused, or that it could not be asked.
 pub async fn run(client: &Client, command: Command, output: Output) -> Result<()> {
     let result = match command {
-        Command::Apply {
-            file,
-            dry_run,
-            if_match,
-        } => apply(client, &file, dry_run, if_match.as_deref()).await?,
+        Command::Apply { file, dry_run, if_match } => {
+            apply(client, &file, dry_run, if_match.as_deref()).await?
+        }
         Command::Diff { file } => apply(client, &file, true, None).await?,
         Command::Get { resolved, path } => {
             let query = if resolved { "?resolved=true" } else { "" };
-            client
-                .call(Call::json(Method::GET, &format!("/v1/tree/{path}{query}"), None))
-                .await?
+            client.call(Call::json(Method::GET, &format!("/v1/tree/{path}{query}"), None)).await?
         }
-        Command::Set {
-            if_match,
-            path,
-            value,
-        } => {
+        Command::Set { if_match, path, value } => {
             let value = jsonc::parse(&value, ErrorKind::InvalidTree)
                 .map_err(|e| e.hint("the value is JSON; put text in quotes, such as '\"5/s\"'"))?;
             let path = format!("/v1/tree/{path}");
             let call = Call::json(Method::PUT, &path, Some(&value));
-            client
-                .call(Call {
-                    if_match: if_match.as_deref(),
-                    ..call
-                })
-                .await?
+            client.call(Call { if_match: if_match.as_deref(), ..call }).await?
         }
         Command::Unset { if_match, path } => {
             let path = format!("/v1/tree/{path}");
             let call = Call::json(Method::DELETE, &path, None);
-            client
-                .call(Call {
-                    if_match: if_match.as_deref(),
-                    ..call
-                })
-                .await?
+            client.call(Call { if_match: if_match.as_deref(), ..call }).await?
         }
         Command::Key { key_command } => key(client, &key_command).await?,
         Command::Drain { drain_command } => drain(client, &drain_command).await?,
@@ -65,16 +47,9 @@
             return Ok(());
         }
         Command::Change { id } => {
-            client
-                .call(Call::json(Method::GET, &format!("/v1/changes/{id}"), None))
-                .await?
+            client.call(Call::json(Method::GET, &format!("/v1/changes/{id}"), None)).await?
         }
-        Command::Explain {
-            organisation,
-            host,
-            method,
-            path,
-        } => {
+        Command::Explain { organisation, host, method, path } => {
             let mut query = format!("/v1/explain?path={path}&method={method}");
             for (name, value) in [("organisation", organisation), ("host", host)] {
                 if let Some(value) = value {
@@ -86,11 +61,7 @@
         Command::Steer { entry, key, service } => {
             let entry = Client::new(&entry, &key);
             entry
-                .call(Call::json(
-                    Method::GET,
-                    &format!("/.burdock/v1/steer?service={service}"),
-                    None,
-                ))
+                .call(Call::json(Method::GET, &format!("/.burdock/v1/steer?service={service}"), None))
                 .await?
         }
         Command::Load { .. } => return Err(Error::from(ErrorKind::Internal)),
@@ -101,17 +72,8 @@
 
 async fn apply(client: &Client, file: &Path, dry_run: bool, if_match: Option<&str>) -> Result<Value> {
     let tree = jsonc::parse(&read(file)?, ErrorKind::InvalidTree).map_err(|e| e.at(file.display()))?;
-    let path = if dry_run {
-        "/v1/tree?dry_run=true"
-    } else {
-        "/v1/tree"
-    };
-    client
-        .call(Call {
-            if_match,
-            ..Call::json(Method::PUT, path, Some(&tree))
-        })
-        .await
+    let path = if dry_run { "/v1/tree?dry_run=true" } else { "/v1/tree" };
+    client.call(Call { if_match, ..Call::json(Method::PUT, path, Some(&tree)) }).await
 }
 
 async fn key(client: &Client, command: &KeyCommand) -> Result<Value> {
@@ -131,31 +93,18 @@
     match command {
         DrainCommand::Start { kind, name } => {
             let body = json!({"kind": kind, "name": name});
-            client
-                .call(Call::json(Method::POST, "/v1/drains", Some(&body)))
-                .await
+            client.call(Call::json(Method::POST, "/v1/drains", Some(&body))).await
         }
         DrainCommand::Stop { kind, name } => {
-            client
-                .call(Call::json(
-                    Method::DELETE,
-                    &format!("/v1/drains/{kind}/{name}"),
-                    None,
-                ))
-                .await
+            client.call(Call::json(Method::DELETE, &format!("/v1/drains/{kind}/{name}"), None)).await
         }
     }
 }
 
 async fn blocks(client: &Client, file: &Path) -> Result<Value> {
     let body = Some(Bytes::from(read(file)?));
-    let call = Call {
-        method: Method::PUT,
-        path: "/v1/blocks",
-        body,
-        if_match: None,
-        content_type: "text/plain",
-    };
+    let call =
+        Call { method: Method::PUT, path: "/v1/blocks", body, if_match: None, content_type: "text/plain" };
     client.call(call).await
 }
 
--- a/crates/burdock-ctl/src/load.rs
+++ b/crates/burdock-ctl/src/load.rs
@@ -71,9 +71,7 @@
         .collect();
     let mut total = Seen::new()?;
     for task in tasks {
-        let seen = task
-            .await
-            .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))??;
+        let seen = task.await.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))??;
         total.add(seen)?;
     }
     print::value(&total.report(), output);
@@ -86,11 +84,8 @@
     if in_range {
         return Ok(());
     }
-    Err(
-        Error::new(ErrorKind::BadRequest, "rate, connections or seconds out of range").hint(format!(
-            "rate and connections are 1 or more, seconds 1 to {MAX_SECONDS}"
-        )),
-    )
+    Err(Error::new(ErrorKind::BadRequest, "rate, connections or seconds out of range")
+        .hint(format!("rate and connections are 1 or more, seconds 1 to {MAX_SECONDS}")))
 }
 
 // Requests are due at fixed times. A late answer delays what follows on its connection, and that delay
@@ -137,24 +132,16 @@
         .map_err(|e| Error::new(ErrorKind::BadRequest, e.to_string()))?;
     let resp = open.send_request(req).await.map_err(|e| broken(&e))?;
     let status = resp.status().as_u16();
-    let ran = resp
-        .headers()
-        .get("burdock-outcome")
-        .and_then(|v| v.to_str().ok())
-        .map(str::to_owned);
+    let ran = resp.headers().get("burdock-outcome").and_then(|v| v.to_str().ok()).map(str::to_owned);
     resp.into_body().collect().await.map_err(|e| broken(&e))?;
     Ok(ran.map_or_else(|| status.to_string(), |ran| format!("{status} {ran}")))
 }
 
 async fn connect(entry: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
     let refused = |detail: String| Error::new(ErrorKind::NoBackend, detail);
-    let stream = TcpStream::connect(entry)
-        .await
-        .map_err(|e| refused(e.to_string()))?;
+    let stream = TcpStream::connect(entry).await.map_err(|e| refused(e.to_string()))?;
     stream.set_nodelay(true).map_err(|e| refused(e.to_string()))?;
-    let (sender, connection) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| refused(e.to_string()))?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| refused(e.to_string()))?;
     tokio::spawn(connection);
     Ok(sender)
 }
@@ -164,10 +151,7 @@
         const DIGITS: u8 = 3;
         let latency_us = Histogram::new_with_max(MAX_LATENCY_US, DIGITS)
             .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
-        Ok(Self {
-            latency_us,
-            outcomes: BTreeMap::new(),
-        })
+        Ok(Self { latency_us, outcomes: BTreeMap::new() })
     }
 
     fn note(&mut self, outcome: String, latency_us: u64) {
@@ -176,9 +160,7 @@
     }
 
     fn add(&mut self, other: Self) -> Result<()> {
-        self.latency_us
-            .add(&other.latency_us)
-            .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+        self.latency_us.add(&other.latency_us).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
         for (outcome, count) in other.outcomes {
             *self.outcomes.entry(outcome).or_default() += count;
         }
--- a/crates/burdock-ctl/src/print.rs
+++ b/crates/burdock-ctl/src/print.rs
@@ -5,34 +5,14 @@
 use crate::cli::Output;
 
 /// Columns of the fleet in a status.
-const FLEET_COLUMNS: [&str; 6] = [
-    "instance",
-    "region",
-    "zone",
-    "standing",
-    "revision",
-    "load_per_mille",
-];
+const FLEET_COLUMNS: [&str; 6] = ["instance", "region", "zone", "standing", "revision", "load_per_mille"];
 
 /// Facts of the instance in a status.
-const FACTS: [&str; 7] = [
-    "instance",
-    "phase",
-    "revision",
-    "connectivity",
-    "may_accept_changes",
-    "in_flight",
-    "client_blocks",
-];
+const FACTS: [&str; 7] =
+    ["instance", "phase", "revision", "connectivity", "may_accept_changes", "in_flight", "client_blocks"];
 
 /// Columns of backend servers in a status.
-const BACKEND_COLUMNS: [&str; 5] = [
-    "id",
-    "open",
-    "in_flight_from_here",
-    "reported_in_flight",
-    "connections",
-];
+const BACKEND_COLUMNS: [&str; 5] = ["id", "open", "in_flight_from_here", "reported_in_flight", "connections"];
 
 /// Prints any value.
 pub fn value(value: &Value, output: Output) {
@@ -51,25 +31,12 @@
     for fact in FACTS {
         println!("{fact:<20} {}", cell(&status[fact]));
     }
-    println!(
-        "\n{}",
-        table(&FLEET_COLUMNS, status["fleet"].as_array().unwrap_or(&Vec::new()))
-    );
+    println!("\n{}", table(&FLEET_COLUMNS, status["fleet"].as_array().unwrap_or(&Vec::new())));
     for service in status["services"].as_array().into_iter().flatten() {
         println!("service {}", cell(&service["name"]));
         for region in service["regions"].as_array().into_iter().flatten() {
-            println!(
-                "  {} {} per million",
-                cell(&region["region"]),
-                cell(&region["split_per_million"])
-            );
-            println!(
-                "{}",
-                table(
-                    &BACKEND_COLUMNS,
-                    region["backends"].as_array().unwrap_or(&Vec::new())
-                )
-            );
+            println!("  {} {} per million", cell(&region["region"]), cell(&region["split_per_million"]));
+            println!("{}", table(&BACKEND_COLUMNS, region["backends"].as_array().unwrap_or(&Vec::new())));
         }
     }
 }
@@ -79,25 +46,14 @@
     let mut rows = Vec::new();
     leaves(value, String::new(), &mut rows);
     let width = rows.iter().map(|(path, _)| path.len()).max().unwrap_or(0);
-    rows.iter()
-        .map(|(path, value)| format!("{path:<width$}  {value}\n"))
-        .collect()
+    rows.iter().map(|(path, value)| format!("{path:<width$}  {value}\n")).collect()
 }
 
 /// A table with a row for each element.
 pub fn table(columns: &[&str], rows: &[Value]) -> String {
-    let cells: Vec<Vec<String>> = rows
-        .iter()
-        .map(|row| columns.iter().map(|c| cell(&row[*c])).collect())
-        .collect();
-    let width = |ix: usize| {
-        cells
-            .iter()
-            .map(|r| r[ix].len())
-            .chain([columns[ix].len()])
-            .max()
-            .unwrap_or(0)
-    };
+    let cells: Vec<Vec<String>> =
+        rows.iter().map(|row| columns.iter().map(|c| cell(&row[*c])).collect()).collect();
+    let width = |ix: usize| cells.iter().map(|r| r[ix].len()).chain([columns[ix].len()]).max().unwrap_or(0);
     let widths: Vec<usize> = (0..columns.len()).map(width).collect();
     let line = |texts: &mut dyn Iterator<Item = &str>| {
         let padded: Vec<String> = texts.zip(&widths).map(|(t, w)| format!("{t:<w$}")).collect();
@@ -112,11 +68,7 @@
 
 fn leaves(value: &Value, path: String, rows: &mut Vec<(String, String)>) {
     let below = |name: &str| {
-        if path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{path}/{name}")
-        }
+        if path.is_empty() { name.to_owned() } else { format!("{path}/{name}") }
     };
     match value {
         Value::Object(map) if !map.is_empty() => {
--- a/crates/burdock-ctl/tests/unit/cli.rs
+++ b/crates/burdock-ctl/tests/unit/cli.rs
@@ -13,16 +13,8 @@
 
 #[gtest]
 fn a_dry_run_is_told_from_a_change() {
-    let parsed = options()
-        .run_inner(&["apply", "-f", "tree.jsonc", "--dry-run"])
-        .unwrap();
-    assert_that!(
-        parsed.command,
-        matches_pattern!(Command::Apply {
-            dry_run: eq(&true),
-            ..
-        })
-    );
+    let parsed = options().run_inner(&["apply", "-f", "tree.jsonc", "--dry-run"]).unwrap();
+    assert_that!(parsed.command, matches_pattern!(Command::Apply { dry_run: eq(&true), .. }));
     expect_that!(options().run_inner(&["apply"]).is_err(), eq(true));
     expect_that!(options().run_inner(&["aply"]).is_err(), eq(true));
 }
--- a/crates/burdock-decide/src/admit.rs
+++ b/crates/burdock-decide/src/admit.rs
@@ -80,11 +80,7 @@
     /// ```
     #[must_use]
     pub fn new(limit: usize, room: usize) -> Self {
-        Self {
-            limit,
-            room,
-            ..Self::default()
-        }
+        Self { limit, room, ..Self::default() }
     }
 
     /// Requests that run.
@@ -134,10 +130,7 @@
             return Entry::Refused;
         };
         self.waiting -= 1;
-        Entry::WaitInsteadOf {
-            ticket: self.push(organisation, weight, deadline),
-            evicted,
-        }
+        Entry::WaitInsteadOf { ticket: self.push(organisation, weight, deadline), evicted }
     }
 
     /// A request that ran is done. Returns the one that runs in its place.
@@ -175,12 +168,7 @@
         let lane = match self.lanes.iter().position(|l| l.organisation == organisation) {
             Some(ix) => &mut self.lanes[ix],
             None => {
-                self.lanes.push(Lane {
-                    organisation,
-                    weight,
-                    credit: 0,
-                    waiting: VecDeque::new(),
-                });
+                self.lanes.push(Lane { organisation, weight, credit: 0, waiting: VecDeque::new() });
                 let last = self.lanes.len() - 1;
                 &mut self.lanes[last]
             }
--- a/crates/burdock-decide/src/connectivity.rs
+++ b/crates/burdock-decide/src/connectivity.rs
@@ -73,16 +73,10 @@
 #[must_use]
 pub fn contact(view: &ContactView) -> Contact {
     let by_store = view.store_confirmed.map(|t| t + CONNECTED_BOUND);
-    let by_majority = view
-        .majority_heard
-        .filter(|_| !view.change_pending)
-        .map(|t| t + suspect_after(view.members));
+    let by_majority =
+        view.majority_heard.filter(|_| !view.change_pending).map(|t| t + suspect_after(view.members));
     let best = by_store.max(by_majority).unwrap_or_default();
-    let serve_until = if best == Time::default() {
-        best
-    } else {
-        best + ISOLATION_GRACE
-    };
+    let serve_until = if best == Time::default() { best } else { best + ISOLATION_GRACE };
     let reaches = |bound: Option<Time>| bound.is_some_and(|t| view.now <= t);
     let connectivity = if reaches(by_store) {
         Connectivity::Connected
@@ -93,10 +87,7 @@
     } else {
         Connectivity::Isolated
     };
-    Contact {
-        connectivity,
-        serve_until,
-    }
+    Contact { connectivity, serve_until }
 }
 
 /// Whether an instance may accept a change or take over what another held.
@@ -104,9 +95,7 @@
 /// The store alone is not enough: the others might be a majority that works on without it.
 #[must_use]
 pub fn may_take_over(view: &ContactView) -> bool {
-    let majority = view
-        .majority_heard
-        .is_some_and(|t| view.now <= t + suspect_after(view.members));
+    let majority = view.majority_heard.is_some_and(|t| view.now <= t + suspect_after(view.members));
     majority && contact(view).connectivity == Connectivity::Connected
 }
 
--- a/crates/burdock-decide/src/headers.rs
+++ b/crates/burdock-decide/src/headers.rs
@@ -56,19 +56,12 @@
 #[must_use]
 pub fn query_without_keys(query: &str) -> Option<String> {
     let kept: Vec<&str> = query.split('&').filter(|pair| !carries_key(pair)).collect();
-    if kept.is_empty() {
-        None
-    } else {
-        Some(kept.join("&"))
-    }
+    if kept.is_empty() { None } else { Some(kept.join("&")) }
 }
 
 fn carries_key(pair: &str) -> bool {
     let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-    let named = matches!(
-        name.to_ascii_lowercase().as_str(),
-        "api_key" | "x-api-key" | "access_token"
-    );
+    let named = matches!(name.to_ascii_lowercase().as_str(), "api_key" | "x-api-key" | "access_token");
     named || burdock_model::key::PresentedKey::parse(value).is_some() || value.starts_with("bk.")
 }
 
@@ -76,13 +69,6 @@
 #[must_use]
 pub fn is_ambiguous_path(path: &str) -> bool {
     let lower = path.to_ascii_lowercase();
-    let decoded = lower
-        .replace("%2e", ".")
-        .replace("%2f", "/")
-        .replace("%5c", "/")
-        .replace('\\', "/");
-    decoded
-        .split('/')
-        .any(|segment| segment == "." || segment == "..")
-        || decoded.contains("//")
+    let decoded = lower.replace("%2e", ".").replace("%2f", "/").replace("%5c", "/").replace('\\', "/");
+    decoded.split('/').any(|segment| segment == "." || segment == "..") || decoded.contains("//")
 }
--- a/crates/burdock-decide/src/limit.rs
+++ b/crates/burdock-decide/src/limit.rs
@@ -65,13 +65,7 @@
     /// An empty bucket.
     #[must_use]
     pub const fn new(allotment: Allotment, now: Time) -> Self {
-        Self {
-            allotment,
-            tokens: 0,
-            filled: now,
-            borrowed: 0,
-            borrowed_until: now,
-        }
+        Self { allotment, tokens: 0, filled: now, borrowed: 0, borrowed_until: now }
     }
 
     /// Changes the allotment. What is above a smaller cap is dropped; a larger cap fills over time.
@@ -123,11 +117,7 @@
 
     /// Adds tokens that another holder gave away. They can't be lent on.
     pub fn borrow(&mut self, tokens: u32, now: Time) {
-        let kept = if now < self.borrowed_until {
-            self.borrowed
-        } else {
-            0
-        };
+        let kept = if now < self.borrowed_until { self.borrowed } else { 0 };
         self.borrowed = kept + tokens;
         self.borrowed_until = now + LOAN_TIME;
     }
--- a/crates/burdock-decide/src/membership.rs
+++ b/crates/burdock-decide/src/membership.rs
@@ -154,11 +154,7 @@
 pub fn standing(member: &Member, members: usize, now: Time) -> Standing {
     let silent = now.since(member.heard);
     if member.incarnation.0 > 0 && silent <= suspect_after(members) {
-        return if member.leaving {
-            Standing::Leaving
-        } else {
-            Standing::Alive
-        };
+        return if member.leaving { Standing::Leaving } else { Standing::Alive };
     }
     if !member.listed && silent > FORGET_AFTER {
         return Standing::Gone;
@@ -183,10 +179,8 @@
 #[must_use]
 pub fn partners<'a>(own: &InstanceId, zone: &ZoneName, members: &'a [Member], draw: u64) -> Vec<&'a Member> {
     let mut chosen: Vec<&Member> = watchers(zone, members.iter().filter(|m| m.id != *own));
-    let others: Vec<&Member> = members
-        .iter()
-        .filter(|m| m.id != *own && !chosen.iter().any(|c| c.id == m.id))
-        .collect();
+    let others: Vec<&Member> =
+        members.iter().filter(|m| m.id != *own && !chosen.iter().any(|c| c.id == m.id)).collect();
     if others.is_empty() {
         return chosen;
     }
@@ -213,9 +207,8 @@
         known.select_nth_unstable_by_key(newest - 1, |m| std::cmp::Reverse(m.heard));
         let rest = known.len() - newest;
         let start = usize::try_from(draw % rest as u64).unwrap_or(0);
-        let walk: Vec<&Member> = (0..MAX_DIGEST - newest)
-            .map(|i| known[newest + (start + i) % rest])
-            .collect();
+        let walk: Vec<&Member> =
+            (0..MAX_DIGEST - newest).map(|i| known[newest + (start + i) % rest]).collect();
         known.truncate(newest);
         known.extend(walk);
     }
--- a/crates/burdock-decide/src/pick.rs
+++ b/crates/burdock-decide/src/pick.rs
@@ -98,11 +98,7 @@
     if count == 0 {
         return None;
     }
-    let nth = |n: u64| {
-        (0..backends.len())
-            .filter(usable)
-            .nth(usize::try_from(n).unwrap_or(0))
-    };
+    let nth = |n: u64| (0..backends.len()).filter(usable).nth(usize::try_from(n).unwrap_or(0));
     let drawn = draw % count;
     let first = nth(drawn)?;
     if count == 1 {
@@ -161,10 +157,7 @@
 #[must_use]
 pub fn probes<'a>(backend: &str, own: &str, instances: impl Iterator<Item = &'a str>) -> bool {
     let subject = stable(backend.as_bytes(), 4);
-    ranked(subject, instances, |id| id)
-        .into_iter()
-        .take(PROBERS)
-        .any(|id| id == own)
+    ranked(subject, instances, |id| id).into_iter().take(PROBERS).any(|id| id == own)
 }
 
 fn ramp_penalty(backend: &BackendView, now: Time) -> Duration {
--- a/crates/burdock-decide/src/region.rs
+++ b/crates/burdock-decide/src/region.rs
@@ -95,11 +95,7 @@
 
 fn planned_split(regions: &[RegionView]) -> Vec<u32> {
     let weight = |r: &RegionView| {
-        if r.slots > 0 {
-            r.planned_per_mille.unwrap_or(0)
-        } else {
-            0
-        }
+        if r.slots > 0 { r.planned_per_mille.unwrap_or(0) } else { 0 }
     };
     let sum: u32 = regions.iter().map(weight).sum();
     if sum == 0 {
--- a/crates/burdock-decide/src/retry.rs
+++ b/crates/burdock-decide/src/retry.rs
@@ -39,9 +39,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            thousandths: BUDGET_CAP,
-        }
+        Self { thousandths: BUDGET_CAP }
     }
 }
 
--- a/crates/burdock-decide/src/shares.rs
+++ b/crates/burdock-decide/src/shares.rs
@@ -1,10 +1,12 @@
 //! Who holds which share of an organisation's limits: the agreed record and how it moves.
 //!
 //! A share moves in two steps. First the record names the wanted split beside the present one, and
-//! every holder uses the smaller of its two shares. Once all that lose have confirmed this, or have
-//! been silent for so long that they have stopped by themselves, the wanted split becomes the present one.
+//! every holder uses the smaller of its two shares. Once all whose share moves have confirmed this, or have
+//! been silent for so long since that they have stopped by themselves, the wanted split becomes the present
+//! one. The model check in `tests/model/shares.rs` covers this.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use burdock_model::hash::{ranked, stable};
 use burdock_model::ids::{InstanceId, Life, RegionName};
@@ -35,8 +37,21 @@
 pub struct HolderView {
     /// The version of the record that it last said it acts on.
     pub confirmed: u64,
-    /// This life of it has been silent for longer than the wait for a takeover.
-    pub stopped: bool,
+    /// How long this life of it has been silent.
+    pub silent_for: Duration,
+}
+
+/// What the keeper of a record decides from, apart from its holders.
+#[derive(Clone, Copy, Debug)]
+pub struct KeeperView<'a> {
+    /// The record.
+    pub record: &'a ShareRecord,
+    /// How long the keeper has known this version of it.
+    pub known_for: Duration,
+    /// The split that should be.
+    pub want: &'a BTreeMap<Life, u64>,
+    /// How long a holder must have been silent to have stopped by itself.
+    pub takeover_wait: Duration,
 }
 
 /// What the keeper of a record does next.
@@ -61,10 +76,7 @@
                 .map_or_else(Allotment::default, |(from, to)| allotment(rate, burst, from, to))
         };
         let (present, wanted) = (under(&self.present), under(&self.wanted));
-        Allotment {
-            rate: present.rate.min(wanted.rate),
-            cap: present.cap.min(wanted.cap),
-        }
+        Allotment { rate: present.rate.min(wanted.rate), cap: present.cap.min(wanted.cap) }
     }
 
     /// Whether the split is at rest.
@@ -103,15 +115,10 @@
     let justified =
         usize::try_from(rate_per_second.div_ceil(RATE_PER_HOLDER * regions)).unwrap_or(usize::MAX);
     let count = justified.clamp(LEAST_PER_REGION, MAX_HOLDERS_PER_REGION);
-    let ranked_regions: Vec<Vec<&InstanceId>> = by_region
-        .into_values()
-        .map(|ids| ranked(subject, ids.into_iter(), |id| id.as_str()))
-        .collect();
-    let by_rank = (0..count).flat_map(|rank| {
-        ranked_regions
-            .iter()
-            .filter_map(move |ids| ids.get(rank).copied())
-    });
+    let ranked_regions: Vec<Vec<&InstanceId>> =
+        by_region.into_values().map(|ids| ranked(subject, ids.into_iter(), |id| id.as_str())).collect();
+    let by_rank =
+        (0..count).flat_map(|rank| ranked_regions.iter().filter_map(move |ids| ids.get(rank).copied()));
     by_rank.take(burst.max(1) as usize).collect()
 }
 
@@ -124,62 +131,41 @@
     if count == 0 {
         return BTreeMap::new();
     }
-    lives
-        .iter()
-        .map(|life| (life.clone(), SHARE_WHOLE / count))
-        .collect()
+    lives.iter().map(|life| (life.clone(), SHARE_WHOLE / count)).collect()
 }
 
 /// Decides the next write of a record towards a wanted split.
 ///
-/// `view` tells what is known of a holder. A write is only valid in place of the record given here.
+/// `holder` tells what is known of a holder. A write is only valid in place of the record given here.
 #[must_use]
-pub fn next_step(
-    record: &ShareRecord,
-    want: &BTreeMap<Life, u64>,
-    view: impl Fn(&Life) -> HolderView,
-) -> Step {
-    if !record.is_settled() {
-        return finish_move(record, want, view);
+pub fn next_step(view: &KeeperView<'_>, holder: impl Fn(&Life) -> HolderView) -> Step {
+    let record = view.record;
+    if record.is_settled() {
+        return if record.present == *view.want { Step::Settled } else { Step::Write(begin_move(view)) };
     }
-    if record.present == *want {
-        return Step::Settled;
+    if record.present.keys().all(|life| !moves(record, life) || has_let_go(view, holder(life))) {
+        let present = record.wanted.clone();
+        return Step::Write(ShareRecord { version: record.version + 1, wanted: present.clone(), present });
     }
-    Step::Write(ShareRecord {
-        version: record.version + 1,
-        present: record.present.clone(),
-        wanted: want.clone(),
-    })
+    // The wanted split may change in mid-move. The present one still binds, so it stays.
+    if record.wanted == *view.want { Step::Wait } else { Step::Write(begin_move(view)) }
 }
 
-fn finish_move(record: &ShareRecord, want: &BTreeMap<Life, u64>, view: impl Fn(&Life) -> HolderView) -> Step {
-    // A range that only moves may lose a whole token to rounding, so it must be confirmed as well.
-    let moves = |life: &Life| range_in(&record.wanted, life) != range_in(&record.present, life);
-    let may_still_use = |life: &Life| {
-        let holder = view(life);
-        !holder.stopped && holder.confirmed < record.version
-    };
-    let waiting = record
-        .present
-        .keys()
-        .any(|life| moves(life) && may_still_use(life));
-    if !waiting {
-        let present = record.wanted.clone();
-        return Step::Write(ShareRecord {
-            version: record.version + 1,
-            wanted: present.clone(),
-            present,
-        });
-    }
-    if record.wanted == *want {
-        return Step::Wait;
-    }
-    // The wanted split has changed in mid-move. The present one still binds, so it stays.
-    Step::Write(ShareRecord {
-        version: record.version + 1,
-        present: record.present.clone(),
-        wanted: want.clone(),
-    })
+fn begin_move(view: &KeeperView<'_>) -> ShareRecord {
+    let record = view.record;
+    ShareRecord { version: record.version + 1, present: record.present.clone(), wanted: view.want.clone() }
+}
+
+// A range that only moves may lose a whole token to rounding, so it must be let go as well.
+fn moves(record: &ShareRecord, life: &Life) -> bool {
+    range_in(&record.wanted, life) != range_in(&record.present, life)
+}
+
+// A silent holder may come back into contact at the last moment before the move was written, and then
+// serves on by the old record. So its silence counts from when the move is known at the earliest.
+fn has_let_go(view: &KeeperView<'_>, holder: HolderView) -> bool {
+    let silent = holder.silent_for.min(view.known_for);
+    holder.confirmed >= view.record.version || silent > view.takeover_wait
 }
 
 fn range_in(shares: &BTreeMap<Life, u64>, life: &Life) -> Option<(u64, u64)> {
--- a/crates/burdock-decide/src/steer.rs
+++ b/crates/burdock-decide/src/steer.rs
@@ -52,13 +52,8 @@
 /// ```
 #[must_use]
 pub fn steer(view: &SteerView<'_>) -> Vec<usize> {
-    let mut order: Vec<(Rank, usize)> = view
-        .entries
-        .iter()
-        .enumerate()
-        .filter(|(_, e)| e.open)
-        .map(|(ix, e)| (rank(view, e), ix))
-        .collect();
+    let mut order: Vec<(Rank, usize)> =
+        view.entries.iter().enumerate().filter(|(_, e)| e.open).map(|(ix, e)| (rank(view, e), ix)).collect();
     let kept = order.len().min(MAX_ENTRIES);
     if kept == 0 {
         return Vec::new();
@@ -80,28 +75,15 @@
 // Loads are compared in coarse steps: finer ones would send every caller to the same entry.
 fn rank(view: &SteerView<'_>, entry: &EntryView<'_>) -> Rank {
     const LOAD_STEP_PER_MILLE: u32 = 250;
-    let distance = view
-        .preference
-        .iter()
-        .position(|r| r == entry.region)
-        .unwrap_or(view.preference.len());
+    let distance = view.preference.iter().position(|r| r == entry.region).unwrap_or(view.preference.len());
     let spread = std::cmp::Reverse(rendezvous(view.caller, entry.id));
-    (
-        distance,
-        !entry.assigned,
-        entry.load_per_mille / LOAD_STEP_PER_MILLE,
-        spread,
-    )
+    (distance, !entry.assigned, entry.load_per_mille / LOAD_STEP_PER_MILLE, spread)
 }
 
 fn best_elsewhere(view: &SteerView<'_>, order: &[(Rank, usize)]) -> Option<(Rank, usize)> {
     let best = order.iter().min()?;
     let region = view.entries[best.1].region;
-    order
-        .iter()
-        .filter(|(_, ix)| view.entries[*ix].region != region)
-        .min()
-        .copied()
+    order.iter().filter(|(_, ix)| view.entries[*ix].region != region).min().copied()
 }
 
 fn with_second_region(view: &SteerView<'_>, order: Vec<(Rank, usize)>, kept: usize) -> Vec<usize> {
@@ -110,10 +92,7 @@
     if chosen.iter().any(|ix| view.entries[*ix].region != first_region) {
         return chosen;
     }
-    let elsewhere = order
-        .iter()
-        .map(|(_, ix)| *ix)
-        .find(|ix| view.entries[*ix].region != first_region);
+    let elsewhere = order.iter().map(|(_, ix)| *ix).find(|ix| view.entries[*ix].region != first_region);
     if let Some(ix) = elsewhere {
         if chosen.len() == MAX_ENTRIES {
             chosen.pop();
--- a/crates/burdock-model/src/blocks.rs
+++ b/crates/burdock-model/src/blocks.rs
@@ -20,20 +20,13 @@
 
 impl std::fmt::Debug for BlockTable {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("BlockTable")
-            .field("len", &self.len)
-            .field("regions", &self.regions)
-            .finish()
+        f.debug_struct("BlockTable").field("len", &self.len).field("regions", &self.regions).finish()
     }
 }
 
 impl Default for BlockTable {
     fn default() -> Self {
-        Self {
-            table: IpNetworkTable::new(),
-            regions: Vec::new(),
-            len: 0,
-        }
+        Self { table: IpNetworkTable::new(), regions: Vec::new(), len: 0 }
     }
 }
 
@@ -102,10 +95,8 @@
         let prefix: IpNetwork = prefix.parse().map_err(|_unparsed| malformed())?;
         let region = self.region_ix(region.trim())?;
         if self.len == MAX_BLOCKS {
-            return Err(
-                Error::new(ErrorKind::TooLarge, format!("more than {MAX_BLOCKS} blocks"))
-                    .hint("merge neighbouring blocks of one region"),
-            );
+            return Err(Error::new(ErrorKind::TooLarge, format!("more than {MAX_BLOCKS} blocks"))
+                .hint("merge neighbouring blocks of one region"));
         }
         match self.table.insert(prefix, region) {
             Some(other) if other != region => Err(Error::new(
--- a/crates/burdock-model/src/error.rs
+++ b/crates/burdock-model/src/error.rs
@@ -163,22 +163,12 @@
             Self::BadAnswer => answer(502, MAY, "Backend server's answer broken", None, 7),
             Self::Overloaded => answer(503, NOT, "Overloaded", Some(1), 6),
             Self::NoBackend => answer(503, NOT, "No backend server available", Some(1), 6),
-            Self::Isolated => answer(
-                503,
-                NOT,
-                "Instance out of contact; use another region",
-                Some(1),
-                6,
-            ),
+            Self::Isolated => answer(503, NOT, "Instance out of contact; use another region", Some(1), 6),
             Self::Leaving => answer(503, NOT, "Instance shutting down; use another", Some(0), 6),
             Self::StoreDown => answer(503, NOT, "Store does not answer", Some(2), 8),
-            Self::OwnerGone => answer(
-                503,
-                MAY,
-                "Owner gone; outcome unknown, not run by this attempt",
-                None,
-                7,
-            ),
+            Self::OwnerGone => {
+                answer(503, MAY, "Owner gone; outcome unknown, not run by this attempt", None, 7)
+            }
             Self::DeadlineBefore => answer(504, NOT, "Deadline passed before sending", None, 6),
             Self::DeadlineAfter => answer(504, MAY, "Deadline passed after sending", None, 7),
             Self::OperatorRefused => answer(401, NOT, "Operator token missing or wrong", None, 3),
@@ -195,10 +185,7 @@
     /// The kind's name as in problem documents.
     #[must_use]
     pub fn as_str(self) -> String {
-        serde_json::to_value(self)
-            .ok()
-            .and_then(|v| v.as_str().map(str::to_owned))
-            .unwrap_or_default()
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
     }
 }
 
@@ -218,11 +205,7 @@
     /// An error without a hint.
     #[must_use]
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self {
-            kind,
-            detail: detail.into(),
-            hint: None,
-        }
+        Self { kind, detail: detail.into(), hint: None }
     }
 
     /// The same error with a hint.
@@ -275,11 +258,5 @@
     retry_after: Option<u32>,
     exit_code: u8,
 ) -> Answer {
-    Answer {
-        status,
-        outcome,
-        title,
-        retry_after,
-        exit_code,
-    }
+    Answer { status, outcome, title, retry_after, exit_code }
 }
--- a/crates/burdock-model/src/ids.rs
+++ b/crates/burdock-model/src/ids.rs
@@ -152,10 +152,7 @@
         let (instance, incarnation) = text.split_once('/')?;
         let instance = InstanceId::new(instance).ok()?;
         let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
-        Some(Self {
-            instance,
-            incarnation: Incarnation(incarnation),
-        })
+        Some(Self { instance, incarnation: Incarnation(incarnation) })
     }
 }
 
@@ -171,9 +168,6 @@
     {
         return Ok(());
     }
-    Err(
-        Error::new(ErrorKind::InvalidTree, format!("`{text}` is not a name")).hint(format!(
-            "a name has 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`"
-        )),
-    )
+    Err(Error::new(ErrorKind::InvalidTree, format!("`{text}` is not a name"))
+        .hint(format!("a name has 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`")))
 }
--- a/crates/burdock-model/src/manifest.rs
+++ b/crates/burdock-model/src/manifest.rs
@@ -60,12 +60,7 @@
         let is_used = |blob: &String| manifest.values().any(|used| used == blob);
         let mut retired: Vec<String> = self.retired.iter().filter(|b| !is_used(b)).cloned().collect();
         retired.extend(self.manifest.values().filter(|b| !is_used(b)).cloned());
-        Self {
-            revision,
-            manifest,
-            recent,
-            retired,
-        }
+        Self { revision, manifest, recent, retired }
     }
 
     /// A change that this head remembers.
@@ -130,12 +125,8 @@
 /// Names each blob of a tree by its content, and lists the chunks of client blocks that the tree names.
 #[must_use]
 pub fn manifest_of(blobs: &BTreeMap<String, String>, chunks: &[String]) -> BTreeMap<String, String> {
-    let of_tree = blobs
-        .iter()
-        .map(|(name, text)| (name.clone(), sha256_hex(text.as_bytes())));
-    let of_chunks = chunks
-        .iter()
-        .map(|hash| (format!("{CHUNK_PREFIX}{hash}"), hash.clone()));
+    let of_tree = blobs.iter().map(|(name, text)| (name.clone(), sha256_hex(text.as_bytes())));
+    let of_chunks = chunks.iter().map(|hash| (format!("{CHUNK_PREFIX}{hash}"), hash.clone()));
     of_tree.chain(of_chunks).collect()
 }
 
--- a/crates/burdock-model/src/resolve.rs
+++ b/crates/burdock-model/src/resolve.rs
@@ -58,17 +58,7 @@
 /// # Errors
 /// [`ErrorKind::InvalidTree`] for the first fault found.
 pub fn check(tree: &Tree) -> Result<()> {
-    check_resolved(
-        &resolve(
-            tree,
-            Scope {
-                organisation: None,
-                service: None,
-                route: None,
-            },
-        ),
-        "settings",
-    )?;
+    check_resolved(&resolve(tree, Scope { organisation: None, service: None, route: None }), "settings")?;
     check_services(tree)?;
     for (name, organisation) in &tree.organisations {
         check_organisation(tree, name, organisation)?;
@@ -90,10 +80,7 @@
                 ));
             }
             if backend.slots == 0 {
-                return Err(invalid(
-                    format!("{at}.backends.{id}: found 0 slots"),
-                    "write 1 or more",
-                ));
+                return Err(invalid(format!("{at}.backends.{id}: found 0 slots"), "write 1 or more"));
             }
         }
         for (route_name, route) in &service.routes {
@@ -114,38 +101,22 @@
     if service.split_per_mille.is_empty() {
         return Ok(());
     }
-    if let Some(unknown) = service
-        .split_per_mille
-        .keys()
-        .find(|r| !tree.regions.contains_key(*r))
-    {
-        return Err(invalid(
-            format!("split_per_mille names `{unknown}`"),
-            "name a region under `regions`",
-        ));
+    if let Some(unknown) = service.split_per_mille.keys().find(|r| !tree.regions.contains_key(*r)) {
+        return Err(invalid(format!("split_per_mille names `{unknown}`"), "name a region under `regions`"));
     }
     let sum: u32 = service.split_per_mille.values().sum();
     if sum != PER_MILLE {
-        return Err(invalid(
-            format!("split_per_mille adds up to {sum}"),
-            "make it add up to 1000",
-        ));
+        return Err(invalid(format!("split_per_mille adds up to {sum}"), "make it add up to 1000"));
     }
     Ok(())
 }
 
 fn check_route(route: &RouteNode) -> Result<()> {
     if !route.prefix.starts_with('/') {
-        return Err(invalid(
-            format!("found prefix `{}`", route.prefix),
-            "a prefix starts with `/`",
-        ));
+        return Err(invalid(format!("found prefix `{}`", route.prefix), "a prefix starts with `/`"));
     }
     if route.prefix.starts_with("/.burdock/") {
-        return Err(invalid(
-            "found a prefix under `/.burdock/`",
-            "that prefix is the system's own",
-        ));
+        return Err(invalid("found a prefix under `/.burdock/`", "that prefix is the system's own"));
     }
     Ok(())
 }
@@ -153,40 +124,21 @@
 fn check_organisation(tree: &Tree, name: &OrganisationName, organisation: &OrganisationNode) -> Result<()> {
     let at = format!("organisations.{name}");
     check_keys(tree, name, organisation)?;
-    let scope = Scope {
-        organisation: Some(name),
-        service: None,
-        route: None,
-    };
+    let scope = Scope { organisation: Some(name), service: None, route: None };
     check_resolved(&resolve(tree, scope), &at)?;
     for (service_name, service) in &organisation.services {
         let at = format!("{at}.services.{service_name}");
         let Some(defined) = tree.services.get(service_name) else {
-            return Err(invalid(
-                format!("{at}: no such service"),
-                "define it under `services` first",
-            ));
+            return Err(invalid(format!("{at}: no such service"), "define it under `services` first"));
         };
         check_inner(&service.settings, &at)?;
-        let scope = Scope {
-            service: Some(service_name),
-            ..scope
-        };
+        let scope = Scope { service: Some(service_name), ..scope };
         check_resolved(&resolve(tree, scope), &at)?;
         for (route_name, route) in &service.routes {
             let at = format!("{at}.routes.{route_name}");
             check_override(defined, route_name, &at)?;
             check_inner(&route.settings, &at)?;
-            check_resolved(
-                &resolve(
-                    tree,
-                    Scope {
-                        route: Some(route_name),
-                        ..scope
-                    },
-                ),
-                &at,
-            )?;
+            check_resolved(&resolve(tree, Scope { route: Some(route_name), ..scope }), &at)?;
         }
     }
     Ok(())
@@ -201,10 +153,8 @@
                 "issue keys by the admin API",
             ));
         }
-        let elsewhere = tree
-            .organisations
-            .iter()
-            .find(|(other, o)| *other != name && o.keys.contains_key(id));
+        let elsewhere =
+            tree.organisations.iter().find(|(other, o)| *other != name && o.keys.contains_key(id));
         if let Some((other, _)) = elsewhere {
             return Err(invalid(
                 format!("{at}: `{other}` has a key with this id"),
@@ -217,10 +167,7 @@
 
 fn check_override(service: &ServiceNode, route: &RouteName, at: &str) -> Result<()> {
     match service.routes.get(route) {
-        None => Err(invalid(
-            format!("{at}: no such route"),
-            "define it under the service first",
-        )),
+        None => Err(invalid(format!("{at}: no such route"), "define it under the service first")),
         Some(defined) if defined.open => Err(invalid(
             format!("{at}: the service opens this route to all, so an organisation can't override it"),
             "remove the override or close the route",
@@ -252,16 +199,10 @@
         ));
     }
     if settings.weight.value == 0 {
-        return Err(invalid(
-            format!("{at}: weight is 0"),
-            "write a weight of 1 or more",
-        ));
+        return Err(invalid(format!("{at}: weight is 0"), "write a weight of 1 or more"));
     }
     if settings.timeout.value.0 == 0 {
-        return Err(invalid(
-            format!("{at}: timeout is 0"),
-            "write a timeout of 1ms or more",
-        ));
+        return Err(invalid(format!("{at}: timeout is 0"), "write a timeout of 1ms or more"));
     }
     let hedge = settings.hedge_after;
     if hedge.value.0 > 0 && hedge.value >= settings.timeout.value {
--- a/crates/burdock-model/src/settings.rs
+++ b/crates/burdock-model/src/settings.rs
@@ -132,8 +132,5 @@
 }
 
 const fn built_in<T>(value: T) -> Sourced<T> {
-    Sourced {
-        value,
-        from: Level::Default,
-    }
+    Sourced { value, from: Level::Default }
 }
--- a/crates/burdock-model/src/snapshot.rs
+++ b/crates/burdock-model/src/snapshot.rs
@@ -102,8 +102,7 @@
     /// Whether a request by this method may run more than once.
     #[must_use]
     pub fn is_repeatable(&self, method: &str) -> bool {
-        self.repeatable
-            .unwrap_or(matches!(method, "GET" | "HEAD" | "OPTIONS" | "TRACE"))
+        self.repeatable.unwrap_or(matches!(method, "GET" | "HEAD" | "OPTIONS" | "TRACE"))
     }
 }
 
@@ -138,37 +137,13 @@
     pub fn new(revision: Revision, tree: Tree, blocks: Arc<BlockTable>) -> Result<Self> {
         let services: Vec<Service> = tree.services.iter().map(|(n, s)| service(&tree, n, s)).collect();
         let routes = routes(&tree);
-        let organisations = tree
-            .organisations
-            .keys()
-            .map(|name| organisation(&tree, name))
-            .collect();
+        let organisations = tree.organisations.keys().map(|name| organisation(&tree, name)).collect();
         let keys = keys(&tree)?;
-        let policies = tree
-            .organisations
-            .iter()
-            .map(|(n, o)| policies(&tree, n, o, &routes, &services))
-            .collect();
-        let fleet = resolve(
-            &tree,
-            Scope {
-                organisation: None,
-                service: None,
-                route: None,
-            },
-        );
+        let policies =
+            tree.organisations.iter().map(|(n, o)| policies(&tree, n, o, &routes, &services)).collect();
+        let fleet = resolve(&tree, Scope { organisation: None, service: None, route: None });
         let open_policy = Arc::new(policy(&fleet));
-        Ok(Self {
-            revision,
-            tree,
-            organisations,
-            services,
-            routes,
-            blocks,
-            keys,
-            policies,
-            open_policy,
-        })
+        Ok(Self { revision, tree, organisations, services, routes, blocks, keys, policies, open_policy })
     }
 
     /// An empty configuration at revision zero.
@@ -205,10 +180,8 @@
     #[must_use]
     pub fn route(&self, host: Option<&str>, path: &str) -> Option<RouteIx> {
         let matches = |r: &Route| {
-            let host_fits = r
-                .host
-                .as_deref()
-                .is_none_or(|want| host.is_some_and(|h| h.eq_ignore_ascii_case(want)));
+            let host_fits =
+                r.host.as_deref().is_none_or(|want| host.is_some_and(|h| h.eq_ignore_ascii_case(want)));
             host_fits && path.starts_with(&r.prefix)
         };
         self.routes.iter().position(matches)
@@ -230,9 +203,7 @@
     /// The organisation of this name.
     #[must_use]
     pub fn organisation_named(&self, name: &str) -> Option<OrganisationIx> {
-        self.organisations
-            .binary_search_by(|o| o.name.as_str().cmp(name))
-            .ok()
+        self.organisations.binary_search_by(|o| o.name.as_str().cmp(name)).ok()
     }
 }
 
@@ -245,10 +216,7 @@
         slots: b.slots,
         draining: tree.drains.covers(id, &b.zone, &b.region),
     });
-    Service {
-        name: name.clone(),
-        backends: backends.collect(),
-    }
+    Service { name: name.clone(), backends: backends.collect() }
 }
 
 fn routes(tree: &Tree) -> Vec<Route> {
@@ -265,22 +233,13 @@
     }
     routes.sort_by(|a, b| {
         let by_host = b.host.is_some().cmp(&a.host.is_some());
-        by_host
-            .then(b.prefix.len().cmp(&a.prefix.len()))
-            .then(a.prefix.cmp(&b.prefix))
+        by_host.then(b.prefix.len().cmp(&a.prefix.len())).then(a.prefix.cmp(&b.prefix))
     });
     routes
 }
 
 fn organisation(tree: &Tree, name: &OrganisationName) -> Organisation {
-    let settings = resolve(
-        tree,
-        Scope {
-            organisation: Some(name),
-            service: None,
-            route: None,
-        },
-    );
+    let settings = resolve(tree, Scope { organisation: Some(name), service: None, route: None });
     Organisation {
         name: name.clone(),
         rate: settings.rate.value,
@@ -311,11 +270,7 @@
     routes: &[Route],
     services: &[Service],
 ) -> Vec<Arc<Policy>> {
-    let scope = Scope {
-        organisation: Some(name),
-        service: None,
-        route: None,
-    };
+    let scope = Scope { organisation: Some(name), service: None, route: None };
     let base = Arc::new(policy(&resolve(tree, scope)));
     let of = |route: &Route| {
         let service = &services[route.service].name;
@@ -323,14 +278,7 @@
             return Arc::clone(&base);
         };
         let inner = overrides.routes.contains_key(&route.name).then_some(&route.name);
-        Arc::new(policy(&resolve(
-            tree,
-            Scope {
-                service: Some(service),
-                route: inner,
-                ..scope
-            },
-        )))
+        Arc::new(policy(&resolve(tree, Scope { service: Some(service), route: inner, ..scope })))
     };
     routes.iter().map(of).collect()
 }
--- a/crates/burdock-model/src/treepath.rs
+++ b/crates/burdock-model/src/treepath.rs
@@ -28,9 +28,7 @@
 /// # Errors
 /// [`ErrorKind::NoSuchPath`] when nothing is there.
 pub fn get<'a>(tree: &'a Value, path: &str) -> Result<&'a Value> {
-    segments(path)
-        .try_fold(tree, |node, name| node.get(name))
-        .ok_or_else(|| no_such(path))
+    segments(path).try_fold(tree, |node, name| node.get(name)).ok_or_else(|| no_such(path))
 }
 
 /// The tag of the value at a path: it changes with the value only.
@@ -98,18 +96,9 @@
     };
     let names: std::collections::BTreeSet<&String> = a.keys().chain(b.keys()).collect();
     for name in names {
-        let below = if path.is_empty() {
-            name.clone()
-        } else {
-            format!("{path}/{name}")
-        };
+        let below = if path.is_empty() { name.clone() } else { format!("{path}/{name}") };
         let none = Value::Null;
-        diff_into(
-            a.get(name).unwrap_or(&none),
-            b.get(name).unwrap_or(&none),
-            below,
-            found,
-        );
+        diff_into(a.get(name).unwrap_or(&none), b.get(name).unwrap_or(&none), below, found);
     }
 }
 
--- a/crates/burdock-model/src/units.rs
+++ b/crates/burdock-model/src/units.rs
@@ -45,10 +45,7 @@
 
 impl fmt::Display for Millis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        humantime::format_duration(self.duration())
-            .to_string()
-            .replace(' ', "")
-            .fmt(f)
+        humantime::format_duration(self.duration()).to_string().replace(' ', "").fmt(f)
     }
 }
 
--- a/crates/burdock-node/src/admin/blocks.rs
+++ b/crates/burdock-node/src/admin/blocks.rs
@@ -27,15 +27,8 @@
     let table = BlockTable::parse([text])?;
     let chunks = table.len().div_ceil(BLOCKS_PER_CHUNK).next_power_of_two() as u64;
     let mut parts: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
-    for line in text
-        .lines()
-        .map(str::trim)
-        .filter(|l| !l.is_empty() && !l.starts_with('#'))
-    {
-        parts
-            .entry(stable(network(line).as_bytes(), 12) % chunks)
-            .or_default()
-            .push(line);
+    for line in text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#')) {
+        parts.entry(stable(network(line).as_bytes(), 12) % chunks).or_default().push(line);
     }
     parts.into_values().map(|lines| compress(&lines)).collect()
 }
@@ -61,27 +54,18 @@
 }
 
 fn unpack(chunk: &str) -> Result<String> {
-    let malformed = |detail: String| {
-        Error::new(
-            ErrorKind::InvalidTree,
-            format!("chunk of client blocks: {detail}"),
-        )
-    };
+    let malformed =
+        |detail: String| Error::new(ErrorKind::InvalidTree, format!("chunk of client blocks: {detail}"));
     let packed = STANDARD.decode(chunk).map_err(|e| malformed(e.to_string()))?;
     let mut text = String::new();
     let mut decoder = ZlibDecoder::new(packed.as_slice()).take(MAX_UNPACKED_BYTES);
-    decoder
-        .read_to_string(&mut text)
-        .map_err(|e| malformed(e.to_string()))?;
+    decoder.read_to_string(&mut text).map_err(|e| malformed(e.to_string()))?;
     Ok(text)
 }
 
 // The first two parts of an address: neighbours change together.
 fn network(line: &str) -> &str {
     let separator = if line.contains(':') { ':' } else { '.' };
-    let end = line
-        .match_indices(separator)
-        .nth(1)
-        .map_or(line.len(), |(at, _)| at);
+    let end = line.match_indices(separator).nth(1).map_or(line.len(), |(at, _)| at);
     &line[..end]
 }
--- a/crates/burdock-node/src/admin/change.rs
+++ b/crates/burdock-node/src/admin/change.rs
@@ -81,9 +81,7 @@
     let (_, old) = base(node).await?;
     let new = edited(&old, wish)?;
     let differences = diff(&old, &new).into_iter();
-    Ok(differences
-        .map(|(path, old, new)| Difference { path, old, new })
-        .collect())
+    Ok(differences.map(|(path, old, new)| Difference { path, old, new }).collect())
 }
 
 async fn try_make(node: &Arc<Node>, wish: &Wish<'_>) -> Result<Accepted> {
@@ -108,11 +106,7 @@
     };
     let head = commit(&node.store, &stored, &new, change).await?;
     let revision = head.head.revision;
-    log::info!(
-        "audit: {} changed `{}` (change {id}, revision {revision})",
-        wish.operator,
-        wish.path
-    );
+    log::info!("audit: {} changed `{}` (change {id}, revision {revision})", wish.operator, wish.path);
     install::install_stored(node, head).await?;
     watch::tell_fleet(node, revision).await;
     collect_in_background(node);
@@ -147,14 +141,9 @@
     }
     let overlaps = |c: &&Change| c.path.starts_with(wish.path) || wish.path.starts_with(&c.path);
     let other = stored.head.recent.iter().rev().find(overlaps);
-    let by = other.map_or_else(String::new, |c| {
-        format!(": {} changed `{}` (change {})", c.by, c.path, c.id)
-    });
-    Err(Error::new(
-        ErrorKind::PreconditionFailed,
-        format!("`{}` has another tag now{by}", wish.path),
-    )
-    .hint("read it again and repeat the change"))
+    let by = other.map_or_else(String::new, |c| format!(": {} changed `{}` (change {})", c.by, c.path, c.id));
+    Err(Error::new(ErrorKind::PreconditionFailed, format!("`{}` has another tag now{by}", wish.path))
+        .hint("read it again and repeat the change"))
 }
 
 fn edited(tree: &Value, wish: &Wish<'_>) -> Result<Value> {
@@ -171,10 +160,7 @@
     let mut promises: FuturesUnordered<_> = others
         .iter()
         .map(|entry| {
-            let peer = PeerAddress {
-                id: entry.life.instance.clone(),
-                address: entry.peer_address,
-            };
+            let peer = PeerAddress { id: entry.life.instance.clone(), address: entry.peer_address };
             async move { node.peers.announce_change(&peer, id.to_string()).await }
         })
         .collect();
--- a/crates/burdock-node/src/admin/explain.rs
+++ b/crates/burdock-node/src/admin/explain.rs
@@ -43,11 +43,7 @@
         ),
     };
     let name = organisation.map(|ix| &snapshot.organisations[ix].name);
-    let scope = Scope {
-        organisation: name,
-        service: Some(&service.name),
-        route: Some(&route.name),
-    };
+    let scope = Scope { organisation: name, service: Some(&service.name), route: Some(&route.name) };
     let policy = snapshot.policy(organisation, route_ix);
     Ok(json!({
         "service": service.name,
--- a/crates/burdock-node/src/admin/router.rs
+++ b/crates/burdock-node/src/admin/router.rs
@@ -55,10 +55,7 @@
         let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = [
             (CONTENT_TYPE, HeaderValue::from_static("application/problem+json")),
-            (
-                crate::entry::answer::OUTCOME,
-                HeaderValue::from_static(answer.outcome.as_str()),
-            ),
+            (crate::entry::answer::OUTCOME, HeaderValue::from_static(answer.outcome.as_str())),
         ];
         (status, headers, self.0.problem().to_string()).into_response()
     }
@@ -103,35 +100,24 @@
 pub fn router(node: &Arc<Node>) -> Router {
     // Beyond its room the API refuses at once rather than queueing.
     let guard = ServiceBuilder::new()
-        .layer(HandleErrorLayer::new(async |_: BoxError| {
-            Problem(Error::from(ErrorKind::Overloaded))
-        }))
+        .layer(HandleErrorLayer::new(async |_: BoxError| Problem(Error::from(ErrorKind::Overloaded))))
         .load_shed()
         .concurrency_limit(MAX_REQUESTS)
         .timeout(TIME_LIMIT);
     Router::new()
         .route("/v1/tree", get(read_root).put(put_root).patch(patch_root))
         .route("/v1/tree/", get(read_root).put(put_root).patch(patch_root))
-        .route(
-            "/v1/tree/{*path}",
-            get(read).put(replace).patch(merge).delete(remove),
-        )
+        .route("/v1/tree/{*path}", get(read).put(replace).patch(merge).delete(remove))
         .route("/v1/organisations/{organisation}/keys", post(issue_key))
         .route("/v1/organisations/{organisation}/keys/{id}", delete(withdraw_key))
         .route("/v1/drains", post(drain))
         .route("/v1/drains/{kind}/{name}", delete(undrain))
         .route("/v1/blocks", put(put_blocks))
-        .route(
-            "/v1/status",
-            get(async |State(node): Shared| Json(status::status(&node))),
-        )
+        .route("/v1/status", get(async |State(node): Shared| Json(status::status(&node))))
         .route("/v1/changes/{id}", get(read_change))
         .route("/v1/explain", get(read_explanation))
         .layer(from_fn_with_state(Arc::clone(node), authenticate))
-        .route(
-            "/v1/openapi.json",
-            get(async || ([(CONTENT_TYPE, "application/json")], OPENAPI)),
-        )
+        .route("/v1/openapi.json", get(async || ([(CONTENT_TYPE, "application/json")], OPENAPI)))
         .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .layer(guard)
         .with_state(Arc::clone(node))
@@ -153,19 +139,10 @@
 
 // Every token is compared, so that the time taken tells nothing.
 fn operator(node: &Node, headers: &HeaderMap) -> Option<Operator> {
-    let presented = headers
-        .get(AUTHORIZATION)?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")?;
+    let presented = headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
     let matches = |token: &str| burdock_model::hash::same_secret(presented, token);
-    let found: Vec<&String> = node
-        .settings
-        .operators
-        .iter()
-        .filter(|(_, token)| matches(token))
-        .map(|(name, _)| name)
-        .collect();
+    let found: Vec<&String> =
+        node.settings.operators.iter().filter(|(_, token)| matches(token)).map(|(name, _)| name).collect();
     found.first().map(|name| Operator((*name).clone()))
 }
 
@@ -198,11 +175,8 @@
         ["organisations", o, "services", s] => (Some(o), Some(s), None),
         ["organisations", o, "services", s, "routes", r] => (Some(o), Some(s), Some(r)),
         _ => {
-            return Err(Error::new(
-                ErrorKind::NoSuchPath,
-                format!("`{path}` is not a level of the tree"),
-            )
-            .hint("name `organisations/O`, `.../services/S` or `.../routes/R`"));
+            return Err(Error::new(ErrorKind::NoSuchPath, format!("`{path}` is not a level of the tree"))
+                .hint("name `organisations/O`, `.../services/S` or `.../routes/R`"));
         }
     };
     if organisation.is_some_and(|o| !tree.organisations.contains_key(o)) {
@@ -211,11 +185,8 @@
     let organisation = organisation.map(OrganisationName::new).transpose()?;
     let service = service.map(burdock_model::ids::ServiceName::new).transpose()?;
     let route = route.map(burdock_model::ids::RouteName::new).transpose()?;
-    let scope = Scope {
-        organisation: organisation.as_ref(),
-        service: service.as_ref(),
-        route: route.as_ref(),
-    };
+    let scope =
+        Scope { organisation: organisation.as_ref(), service: service.as_ref(), route: route.as_ref() };
     serde_json::to_value(resolve(tree, scope)).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
 }
 
@@ -280,13 +251,7 @@
     headers: &HeaderMap,
 ) -> Answer<Response> {
     let if_match = headers.get(IF_MATCH).and_then(|v| v.to_str().ok());
-    let wish = Wish {
-        operator: &who.0,
-        path,
-        edit,
-        if_match,
-        rebase: false,
-    };
+    let wish = Wish { operator: &who.0, path, edit, if_match, rebase: false };
     if query.dry_run {
         return Ok(Json(preview(node, &wish).await?).into_response());
     }
@@ -305,13 +270,7 @@
     let secret: [u8; 32] = rand::random();
     let path = format!("organisations/{organisation}/keys/{id}");
     let value = json!({"hash": hex::encode(hash_of(&secret))});
-    let wish = Wish {
-        operator: &who.0,
-        path: &path,
-        edit: Edit::Put(value),
-        if_match: None,
-        rebase: true,
-    };
+    let wish = Wish { operator: &who.0, path: &path, edit: Edit::Put(value), if_match: None, rebase: true };
     let accepted = make(&node, &wish).await?;
     let body = json!({
         "id": id, "key": issue(&id, &secret), "change": accepted.change, "revision": accepted.revision,
@@ -325,13 +284,7 @@
     Path((organisation, id)): Path<(String, String)>,
 ) -> Answer<Response> {
     let path = format!("organisations/{organisation}/keys/{id}");
-    let wish = Wish {
-        operator: &who.0,
-        path: &path,
-        edit: Edit::Delete,
-        if_match: None,
-        rebase: true,
-    };
+    let wish = Wish { operator: &who.0, path: &path, edit: Edit::Delete, if_match: None, rebase: true };
     Ok(Json(make(&node, &wish).await?).into_response())
 }
 
@@ -361,16 +314,8 @@
     };
     check_drain(node, kind, name)?;
     let tree = node.config.tree()?;
-    let present = treepath::get(&tree, path)
-        .ok()
-        .and_then(Value::as_array)
-        .cloned()
-        .unwrap_or_default();
-    let mut list: Vec<Value> = present
-        .iter()
-        .filter(|v| v.as_str() != Some(name))
-        .cloned()
-        .collect();
+    let present = treepath::get(&tree, path).ok().and_then(Value::as_array).cloned().unwrap_or_default();
+    let mut list: Vec<Value> = present.iter().filter(|v| v.as_str() != Some(name)).cloned().collect();
     if wanted {
         list.push(json!(name));
     }
@@ -397,10 +342,7 @@
     if known {
         return Ok(());
     }
-    Err(Error::new(
-        ErrorKind::NoSuchPath,
-        format!("no backend server is in or named `{name}`"),
-    ))
+    Err(Error::new(ErrorKind::NoSuchPath, format!("no backend server is in or named `{name}`")))
 }
 
 async fn put_blocks(State(node): Shared, Extension(who): Who, body: String) -> Answer<Response> {
--- a/crates/burdock-node/src/admin/status.rs
+++ b/crates/burdock-node/src/admin/status.rs
@@ -16,10 +16,8 @@
     let now = node.clock.now();
     let in_force = node.in_force.load();
     let view = node.fleet.view();
-    let counters: Map<String, Value> = Counter::ALL
-        .iter()
-        .map(|c| (c.name().to_owned(), json!(node.counters.get(*c))))
-        .collect();
+    let counters: Map<String, Value> =
+        Counter::ALL.iter().map(|c| (c.name().to_owned(), json!(node.counters.get(*c)))).collect();
     json!({
         "instance": node.life.to_string(),
         "region": node.settings.region,
@@ -47,20 +45,13 @@
 pub fn change(node: &Node, id: &ChangeId) -> Result<Value> {
     let head = node.config.head().head;
     let change = head.change(id).ok_or_else(|| {
-        Error::new(
-            ErrorKind::NoSuchPath,
-            format!("no change `{id}` among the latest"),
-        )
-        .hint("it was not accepted, or is long past")
+        Error::new(ErrorKind::NoSuchPath, format!("no change `{id}` among the latest"))
+            .hint("it was not accepted, or is long past")
     })?;
     let view = node.fleet.view();
     let has = |e: &&Entry| e.revision >= change.revision;
-    let names = |entries: Vec<&Entry>| {
-        entries
-            .iter()
-            .map(|e| e.life.instance.to_string())
-            .collect::<Vec<_>>()
-    };
+    let names =
+        |entries: Vec<&Entry>| entries.iter().map(|e| e.life.instance.to_string()).collect::<Vec<_>>();
     let (confirmed, waiting): (Vec<&Entry>, Vec<&Entry>) = view.entries.iter().partition(has);
     Ok(json!({
         "id": change.id,
@@ -131,10 +122,7 @@
     let share = |o: &burdock_model::snapshot::Organisation| {
         let record = node.limits.records.record(&o.name)?;
         let holders: Vec<String> = record.present.keys().map(ToString::to_string).collect();
-        Some((
-            o.name.to_string(),
-            json!({"holders": holders, "settled": record.is_settled()}),
-        ))
+        Some((o.name.to_string(), json!({"holders": holders, "settled": record.is_settled()})))
     };
     Value::Object(in_force.snapshot.organisations.iter().filter_map(share).collect())
 }
--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -84,6 +84,8 @@
         /// Requests it works on at once
         #[bpaf(argument("N"), fallback(6), display_fallback)]
         slots: u32,
+        /// Keep no log of what ran
+        no_log: bool,
     },
 }
 
@@ -124,27 +126,16 @@
     match command {
         Command::Run { settings } => run(InstanceSettings::load(&settings)?),
         Command::Check { settings, tree } => check(settings, tree),
-        Command::Demo {
-            instances,
-            backends,
-            seed,
-            port,
-            output,
-        } => {
-            let settings = DemoSettings::default()
-                .instances(instances)
-                .backends(backends)
-                .seed(seed)
-                .port(port);
+        Command::Demo { instances, backends, seed, port, output } => {
+            let settings =
+                DemoSettings::default().instances(instances).backends(backends).seed(seed).port(port);
             block_on(TOOL_THREADS, demo(settings, output))
         }
         Command::StandinStore { listen, tree } => block_on(TOOL_THREADS, standin_store(listen, tree)),
-        Command::StandinBackend {
-            name,
-            listen,
-            control,
-            slots,
-        } => block_on(TOOL_THREADS, standin_backend(name, listen, control, slots)),
+        Command::StandinBackend { name, listen, control, slots, no_log } => {
+            let backend = BackendStandin::new(&name, slots, !no_log);
+            block_on(TOOL_THREADS, standin_backend(backend, listen, control))
+        }
     }
 }
 
@@ -212,13 +203,9 @@
     Ok(())
 }
 
-async fn standin_backend(name: String, listen: SocketAddr, control: SocketAddr, slots: u32) -> Result<()> {
-    let backend = BackendStandin::new(&name, slots, true);
+async fn standin_backend(backend: BackendStandin, listen: SocketAddr, control: SocketAddr) -> Result<()> {
     let addresses = backend.serve(listen, control).await.map_err(|e| internal(&e))?;
-    println!(
-        "{}",
-        serde_json::json!({ "listen": addresses.service, "control": addresses.control })
-    );
+    println!("{}", serde_json::json!({ "listen": addresses.service, "control": addresses.control }));
     until_signal().await
 }
 
@@ -234,10 +221,7 @@
 }
 
 fn block_on(threads: usize, work: impl Future<Output = Result<()>>) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads)
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     runtime.map_err(|e| internal(&e))?.block_on(work)
 }
 
--- a/crates/burdock-node/src/clock.rs
+++ b/crates/burdock-node/src/clock.rs
@@ -17,9 +17,7 @@
     /// A clock that starts now.
     #[must_use]
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// Now.
--- a/crates/burdock-node/src/demo.rs
+++ b/crates/burdock-node/src/demo.rs
@@ -58,12 +58,7 @@
 
 impl Default for DemoSettings {
     fn default() -> Self {
-        Self {
-            instances: 6,
-            backends: 6,
-            seed: 1,
-            port: 0,
-        }
+        Self { instances: 6, backends: 6, seed: 1, port: 0 }
     }
 }
 
@@ -103,10 +98,7 @@
     pub async fn start(&self) -> Result<Demo> {
         let mut rng = StdRng::seed_from_u64(self.seed);
         let store = StoreStandin::default();
-        let (store_address, _task) = store
-            .serve(loopback(0))
-            .await
-            .map_err(|e| failed(&e.to_string()))?;
+        let (store_address, _task) = store.serve(loopback(0)).await.map_err(|e| failed(&e.to_string()))?;
         let backends = self.start_backends().await?;
         let listed: Vec<SampleBackend> = backends.iter().map(|(b, _)| b.clone()).collect();
         let (tree, keys) = sample::tree(&listed, || rng.random());
@@ -118,24 +110,12 @@
             let listeners = Listeners::bind(&settings.listen).await?;
             prepared.push((settings, listeners));
         }
-        let list = prepared
-            .iter()
-            .map(|(s, l)| Ok(listed_instance(s, &l.addresses()?)))
-            .collect::<Result<_>>()?;
+        let list =
+            prepared.iter().map(|(s, l)| Ok(listed_instance(s, &l.addresses()?))).collect::<Result<_>>()?;
         store.set_instances(list);
-        let nodes = prepared
-            .into_iter()
-            .map(|(s, l)| start(s, l))
-            .collect::<Result<Vec<_>>>()?;
+        let nodes = prepared.into_iter().map(|(s, l)| start(s, l)).collect::<Result<Vec<_>>>()?;
         wait_ready(&nodes).await?;
-        Ok(Demo {
-            nodes,
-            store,
-            store_address,
-            keys,
-            token,
-            backends,
-        })
+        Ok(Demo { nodes, store, store_address, keys, token, backends })
     }
 
     async fn start_backends(&self) -> Result<Vec<(SampleBackend, SocketAddr)>> {
@@ -144,19 +124,11 @@
             for ix in 0..self.backends {
                 let id = format!("{service}-{ix}");
                 let backend = BackendStandin::new(&id, SLOTS, true);
-                let addresses = backend
-                    .serve(loopback(0), loopback(0))
-                    .await
-                    .map_err(|e| failed(&e.to_string()))?;
+                let addresses =
+                    backend.serve(loopback(0), loopback(0)).await.map_err(|e| failed(&e.to_string()))?;
                 let (region, zone) = place(ix);
                 started.push((
-                    SampleBackend {
-                        id,
-                        service,
-                        region,
-                        zone,
-                        address: addresses.service,
-                    },
+                    SampleBackend { id, service, region, zone, address: addresses.service },
                     addresses.control,
                 ));
             }
@@ -168,26 +140,14 @@
         let (region, zone) = place(ix);
         let offset = u16::try_from(ix).unwrap_or(0) * PORTS_PER_INSTANCE;
         let port = |nth: u16| {
-            if self.port == 0 {
-                0
-            } else {
-                self.port + offset + nth
-            }
+            if self.port == 0 { 0 } else { self.port + offset + nth }
         };
         Ok(InstanceSettings {
             instance: InstanceId::new(&format!("{region}-{}", ix / sample::REGIONS.len() + 1))?,
             region: RegionName::new(region)?,
             zone: ZoneName::new(zone)?,
-            listen: Listen {
-                callers: loopback(port(0)),
-                peers: loopback(port(1)),
-                admin: loopback(port(2)),
-            },
-            store: StoreSettings {
-                address: store,
-                time_limit: Millis(1000),
-                calls_per_second: 100,
-            },
+            listen: Listen { callers: loopback(port(0)), peers: loopback(port(1)), admin: loopback(port(2)) },
+            store: StoreSettings { address: store, time_limit: Millis(1000), calls_per_second: 100 },
             operators: [("demo".to_owned(), token.to_owned())].into(),
             threads: Threads::default(),
             metrics: None,
@@ -240,10 +200,7 @@
             );
             text.push_str(&line);
         }
-        text.push_str(&format!(
-            "\nkey for {}: {key}\n",
-            self.keys.first().map_or("", |k| k.organisation)
-        ));
+        text.push_str(&format!("\nkey for {}: {key}\n", self.keys.first().map_or("", |k| k.organisation)));
         text.push_str(&format!("operator token: {}\n\nTry:\n", self.token));
         let callers = listen.callers;
         let admin = listen.admin;
@@ -314,17 +271,9 @@
     use burdock_decide::membership::Standing;
     let node = &running.node;
     let view = node.fleet.view();
-    let alive = view
-        .entries
-        .iter()
-        .filter(|e| e.standing == Standing::Alive)
-        .count();
+    let alive = view.entries.iter().filter(|e| e.standing == Standing::Alive).count();
     let in_force = node.in_force.load();
-    let mut records = in_force
-        .snapshot
-        .organisations
-        .iter()
-        .map(|o| node.limits.records.record(&o.name));
+    let mut records = in_force.snapshot.organisations.iter().map(|o| node.limits.records.record(&o.name));
     let shared = records.all(|r| r.is_some_and(|r| r.is_settled() && !r.present.is_empty()));
     node.phase() == Phase::Ready && alive == instances && shared
 }
--- a/crates/burdock-node/src/entry/answer.rs
+++ b/crates/burdock-node/src/entry/answer.rs
@@ -92,10 +92,7 @@
 pub fn from_whole(answer: &WholeAnswer, request_id: HeaderValue) -> Response<EntryBody> {
     let mut headers = HeaderMap::new();
     for (name, value) in &answer.headers {
-        if let (Ok(name), Ok(value)) = (
-            HeaderName::try_from(name.as_str()),
-            HeaderValue::from_bytes(value),
-        ) {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name.as_str()), HeaderValue::from_bytes(value)) {
             headers.append(name, value);
         }
     }
--- a/crates/burdock-node/src/entry/guarded.rs
+++ b/crates/burdock-node/src/entry/guarded.rs
@@ -81,14 +81,7 @@
     /// Guards a body.
     #[must_use]
     pub fn new(incoming: Incoming, framing: Framing, rights: Rights, held: Held) -> Self {
-        Self {
-            incoming,
-            framing,
-            received: 0,
-            rights,
-            watchdog: None,
-            held: Some(held),
-        }
+        Self { incoming, framing, received: 0, rights, watchdog: None, held: Some(held) }
     }
 
     fn poll_incoming(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
@@ -130,10 +123,7 @@
             End::Cut => {
                 node.counters.add(Counter::AnswersCut);
                 tokio::spawn(note_cut(Arc::clone(node), held));
-                Some(Error::new(
-                    ErrorKind::BadAnswer,
-                    "the backend server cut its answer",
-                ))
+                Some(Error::new(ErrorKind::BadAnswer, "the backend server cut its answer"))
             }
         }
     }
@@ -211,11 +201,7 @@
     let backend = held.in_flight.backend();
     let crashed = !backend.pool.accepts().await;
     backend.outcome(false, node.clock.now());
-    if crashed
-        && node
-            .quarantine
-            .crashed(held.fingerprint, &backend.id, node.clock.now())
-    {
+    if crashed && node.quarantine.crashed(held.fingerprint, &backend.id, node.clock.now()) {
         node.counters.add(Counter::Strikes);
         log::warn!("backend server {} died in mid-answer", backend.id);
     }
--- a/crates/burdock-node/src/entry/handle.rs
+++ b/crates/burdock-node/src/entry/handle.rs
@@ -56,10 +56,7 @@
         return Err(Error::from(ErrorKind::Leaving));
     }
     if is_starting(&node.in_force.load()) {
-        return Err(Error::new(
-            ErrorKind::NoBackend,
-            "this instance has no configuration yet",
-        ));
+        return Err(Error::new(ErrorKind::NoBackend, "this instance has no configuration yet"));
     }
     Ok(())
 }
@@ -83,14 +80,10 @@
     key: &HeaderValue,
     body: Incoming,
 ) -> Result<Response<EntryBody>> {
-    let key = key
-        .to_str()
-        .ok()
-        .filter(|k| !k.is_empty() && k.len() <= MAX_KEY_BYTES)
-        .ok_or_else(|| {
-            Error::from(ErrorKind::IdempotencyKeyMissing)
-                .hint(format!("send 1 to {MAX_KEY_BYTES} printable characters"))
-        })?;
+    let key = key.to_str().ok().filter(|k| !k.is_empty() && k.len() <= MAX_KEY_BYTES).ok_or_else(|| {
+        Error::from(ErrorKind::IdempotencyKeyMissing)
+            .hint(format!("send 1 to {MAX_KEY_BYTES} printable characters"))
+    })?;
     let body = hold(body, head.outbound.policy.body_limit.0).await?;
     let hint = head.owner_hint.as_ref().and_then(|h| h.to_str().ok());
     let id = head.outbound.request_id.clone();
@@ -106,21 +99,13 @@
     body: Incoming,
     at_work: AtWork,
 ) -> Result<Response<EntryBody>> {
-    let CheckedHead {
-        mut outbound,
-        key,
-        idempotency_key,
-        ..
-    } = head;
+    let CheckedHead { mut outbound, key, idempotency_key, .. } = head;
     if let Some(name) = outbound.organisation_name() {
         let _span = outbound.trace.hop("limit");
         admit(node, name, outbound.deadline).await?;
     }
     let body = request_body(&outbound, body).await?;
-    outbound.identify(
-        body.held(),
-        idempotency_key.as_ref().and_then(|k| k.to_str().ok()),
-    );
+    outbound.identify(body.held(), idempotency_key.as_ref().and_then(|k| k.to_str().ok()));
     let running = run(node, &outbound, body).await?;
     let rights = Rights {
         node: Arc::clone(node),
@@ -132,11 +117,7 @@
 }
 
 fn stream(running: Running, outbound: &Outbound, rights: Rights, at_work: AtWork) -> Response<EntryBody> {
-    let Running {
-        answered,
-        permit,
-        alone,
-    } = running;
+    let Running { answered, permit, alone } = running;
     let (parts, incoming) = answered.resp.into_parts();
     let framing = framing_of(&parts.headers, &incoming);
     let held = Held {
@@ -158,10 +139,7 @@
     if body.is_end_stream() {
         return Framing::Empty;
     }
-    let length = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|v| v.to_str().ok())
-        .and_then(|v| v.parse().ok());
+    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
     match length {
         Some(length) => Framing::Length(length),
         None if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunked,
@@ -177,11 +155,9 @@
     }
     let limit = outbound.policy.body_limit.0;
     match body.size_hint().exact() {
-        Some(length) if length > HELD_BODY_BYTES => Ok(RequestBody::Streamed {
-            incoming: body,
-            passed: 0,
-            limit,
-        }),
+        Some(length) if length > HELD_BODY_BYTES => {
+            Ok(RequestBody::Streamed { incoming: body, passed: 0, limit })
+        }
         _ => hold(body, limit).await.map(RequestBody::Held),
     }
 }
@@ -190,10 +166,7 @@
     let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
     let collected = limited.collect().await.map_err(|e| {
         if e.is::<LengthLimitError>() {
-            Error::new(
-                ErrorKind::TooLarge,
-                format!("the body is longer than {limit} bytes"),
-            )
+            Error::new(ErrorKind::TooLarge, format!("the body is longer than {limit} bytes"))
         } else {
             Error::new(ErrorKind::BadRequest, format!("the body broke off: {e}"))
         }
--- a/crates/burdock-node/src/entry/head.rs
+++ b/crates/burdock-node/src/entry/head.rs
@@ -47,9 +47,7 @@
     let trace = Trace::begin(header(&TRACEPARENT), sampled(node));
     let snapshot = &in_force.snapshot;
     let host = host_of(&parts);
-    let route = snapshot
-        .route(host, parts.uri.path())
-        .ok_or_else(|| no_route(parts.uri.path()))?;
+    let route = snapshot.route(host, parts.uri.path()).ok_or_else(|| no_route(parts.uri.path()))?;
     let key = presented_key(&parts.headers).cloned();
     let organisation = {
         let _span = trace.hop("key");
@@ -78,12 +76,7 @@
         request_id: request_id(),
         trace,
     };
-    Ok(CheckedHead {
-        outbound,
-        key,
-        idempotency_key,
-        owner_hint,
-    })
+    Ok(CheckedHead { outbound, key, idempotency_key, owner_hint })
 }
 
 /// A fresh request id.
@@ -146,20 +139,16 @@
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
     let chunked = headers.contains_key(TRANSFER_ENCODING);
     if lengths > 1 || (lengths == 1 && chunked) {
-        return Err(
-            Error::new(ErrorKind::BadRequest, "the body's length is given twice")
-                .hint("send one Content-Length, or chunks without it"),
-        );
+        return Err(Error::new(ErrorKind::BadRequest, "the body's length is given twice")
+            .hint("send one Content-Length, or chunks without it"));
     }
     Ok(())
 }
 
 fn check_path(path: &str) -> Result<()> {
     if is_ambiguous_path(path) {
-        return Err(
-            Error::new(ErrorKind::BadRequest, "the path has `.`, `..` or empty segments")
-                .hint("send the path in its plain form"),
-        );
+        return Err(Error::new(ErrorKind::BadRequest, "the path has `.`, `..` or empty segments")
+            .hint("send the path in its plain form"));
     }
     Ok(())
 }
@@ -192,10 +181,10 @@
     let authority = parts.uri.authority().map(http::uri::Authority::as_str);
     let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok());
     let host = authority.or(host)?;
-    Some(host.rsplit_once(':').map_or(
-        host,
-        |(name, port)| if port.parse::<u16>().is_ok() { name } else { host },
-    ))
+    Some(
+        host.rsplit_once(':')
+            .map_or(host, |(name, port)| if port.parse::<u16>().is_ok() { name } else { host }),
+    )
 }
 
 fn target(uri: &Uri) -> Result<Uri> {
@@ -209,8 +198,7 @@
 }
 
 fn parse_target(text: &str) -> Result<Uri> {
-    text.parse()
-        .map_err(|e: http::uri::InvalidUri| Error::new(ErrorKind::BadRequest, e.to_string()))
+    text.parse().map_err(|e: http::uri::InvalidUri| Error::new(ErrorKind::BadRequest, e.to_string()))
 }
 
 fn backend_headers(parts: &Parts, host: Option<&str>) -> HeaderMap {
--- a/crates/burdock-node/src/entry/serve.rs
+++ b/crates/burdock-node/src/entry/serve.rs
@@ -95,9 +95,7 @@
             let node = Arc::clone(&node);
             async move { Ok::<_, Infallible>(handle(node, req, remote).await) }
         });
-        let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         // How a connection ends is its caller's affair.
         let _ended = watcher.watch(connection).await;
     }
--- a/crates/burdock-node/src/entry/steer.rs
+++ b/crates/burdock-node/src/entry/steer.rs
@@ -49,11 +49,7 @@
 /// Answers a request under the system's own prefix.
 pub fn handle(node: &Arc<Node>, req: &Request<Incoming>, remote: SocketAddr) -> Response<EntryBody> {
     if req.method() != Method::GET {
-        return refusal(
-            node,
-            &Error::new(ErrorKind::BadRequest, "only GET is answered here"),
-            request_id(),
-        );
+        return refusal(node, &Error::new(ErrorKind::BadRequest, "only GET is answered here"), request_id());
     }
     match req.uri().path() {
         "/.burdock/v1/health" => health(node),
@@ -61,11 +57,7 @@
             Ok(answer) => json(200, &answer),
             Err(e) => refusal(node, &e, request_id()),
         },
-        path => refusal(
-            node,
-            &Error::new(ErrorKind::NoRoute, format!("nothing at `{path}`")),
-            request_id(),
-        ),
+        path => refusal(node, &Error::new(ErrorKind::NoRoute, format!("nothing at `{path}`")), request_id()),
     }
 }
 
@@ -114,17 +106,10 @@
             load_per_mille: e.load_per_mille,
         })
         .collect();
-    let order = steer(&SteerView {
-        entries: &entries,
-        preference,
-        caller,
-    });
+    let order = steer(&SteerView { entries: &entries, preference, caller });
     let entry = |ix: usize| {
         let e = &view.entries[ix];
-        let life = Life {
-            instance: e.life.instance.clone(),
-            incarnation: e.life.incarnation,
-        };
+        let life = Life { instance: e.life.instance.clone(), incarnation: e.life.incarnation };
         SteerEntry {
             address: e.address,
             region: e.region.to_string(),
@@ -157,10 +142,7 @@
 
 // The caller's region by its block, else this instance's, then the others by their distance from it.
 fn preference(node: &Node, snapshot: &Snapshot, remote: SocketAddr) -> Vec<RegionName> {
-    let home = snapshot
-        .blocks
-        .region(remote.ip())
-        .unwrap_or(&node.settings.region);
+    let home = snapshot.blocks.region(remote.ip()).unwrap_or(&node.settings.region);
     let mut order = vec![home.clone()];
     if let Some(region) = snapshot.tree.regions.get(home) {
         let mut others: Vec<(&RegionName, u32)> = region.one_way_ms.iter().map(|(r, ms)| (r, *ms)).collect();
@@ -171,10 +153,7 @@
 }
 
 fn check_service(snapshot: &Snapshot, query: Option<&str>) -> Result<()> {
-    let named = query
-        .unwrap_or("")
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("service="));
+    let named = query.unwrap_or("").split('&').find_map(|pair| pair.strip_prefix("service="));
     match named {
         None => Err(Error::new(ErrorKind::BadRequest, "no service named").hint("add `?service=NAME`")),
         Some(name) if snapshot.service_named(name).is_some() => Ok(()),
--- a/crates/burdock-node/src/fleet/exchange.rs
+++ b/crates/burdock-node/src/fleet/exchange.rs
@@ -35,19 +35,13 @@
 
 fn begin_round(node: &Node) -> Vec<PeerAddress> {
     let revision = node.in_force.load().snapshot.revision;
-    node.fleet
-        .beat(revision, node.phase() >= Phase::Draining, node.clock.now());
+    node.fleet.beat(revision, node.phase() >= Phase::Draining, node.clock.now());
     let members = node.fleet.members();
     let chosen = partners(&node.life.instance, &node.settings.zone, &members, rand::random());
     let address = |id| node.fleet.peer_address(id);
     chosen
         .into_iter()
-        .filter_map(|m| {
-            Some(PeerAddress {
-                id: m.id.clone(),
-                address: address(&m.id)?,
-            })
-        })
+        .filter_map(|m| Some(PeerAddress { id: m.id.clone(), address: address(&m.id)? }))
         .collect()
 }
 
@@ -64,15 +58,10 @@
     // Contact counts only once what the other holds is held here too: an instance that was cut off must
     // not serve in the moment between hearing of a change and installing it.
     let caught_up = catch_up(node, peer, &answer).await.is_ok();
-    let source = if caught_up {
-        Source::Answered(asked)
-    } else {
-        Source::Told(node.clock.now())
-    };
+    let source = if caught_up { Source::Answered(asked) } else { Source::Told(node.clock.now()) };
     absorb(node, &answer, source);
     if let Some(age) = answer.store_age_ms.filter(|_| caught_up) {
-        node.fleet
-            .confirm_store(asked - Duration::from_millis(u64::from(age)));
+        node.fleet.confirm_store(asked - Duration::from_millis(u64::from(age)));
     }
 }
 
@@ -83,7 +72,7 @@
     }
     let mut news = false;
     for bucket in node.peers.shares(peer).await? {
-        news |= node.limits.records.take(&bucket)?;
+        news |= node.limits.records.take(&bucket, node.clock.now())?;
     }
     if news {
         records::apply(node);
@@ -105,8 +94,7 @@
 fn absorb(node: &Node, theirs: &Exchange, source: Source) {
     let now = node.clock.now();
     node.fleet.observe(&theirs.heartbeats, source, now);
-    node.fleet
-        .note_load(&theirs.sender.instance, theirs.load_per_mille);
+    node.fleet.note_load(&theirs.sender.instance, theirs.load_per_mille);
     node.fleet.note_successions(theirs.successions.clone(), now);
     let news = node.quarantine.heard(&theirs.strikes, now);
     node.counters.add_many(Counter::Strikes, news as u64);
@@ -120,11 +108,7 @@
     for load in loads {
         let at = now - Duration::from_millis(u64::from(load.age_ms));
         if let Some(backend) = backends.get(&load.id) {
-            backend.reported(Report {
-                in_flight: Some(load.in_flight),
-                at,
-                accepting: load.accepting,
-            });
+            backend.reported(Report { in_flight: Some(load.in_flight), at, accepting: load.accepting });
         }
     }
 }
@@ -132,10 +116,8 @@
 // An instance that has just started takes up the split of its region, which may be in mid-shift.
 fn adopt_splits(node: &Node, theirs: &Exchange) {
     let view = node.fleet.view();
-    let same_region = view
-        .entries
-        .iter()
-        .any(|e| e.life == theirs.sender && e.region == node.settings.region);
+    let same_region =
+        view.entries.iter().any(|e| e.life == theirs.sender && e.region == node.settings.region);
     if !same_region {
         return;
     }
@@ -169,10 +151,7 @@
 fn split_of(service: &crate::in_force::ServiceState) -> Option<Split> {
     let split = service.split.load();
     split.at?;
-    Some(Split {
-        service: service.name.clone(),
-        per_million: split.parts.clone(),
-    })
+    Some(Split { service: service.name.clone(), per_million: split.parts.clone() })
 }
 
 fn loads(node: &Node, now: Time) -> Vec<BackendLoad> {
@@ -181,12 +160,7 @@
         let report = backend.report();
         let in_flight = report.in_flight?;
         let age_ms = u32::try_from(now.since(report.at).as_millis()).ok()?;
-        Some(BackendLoad {
-            id: backend.id.clone(),
-            accepting: report.accepting,
-            in_flight,
-            age_ms,
-        })
+        Some(BackendLoad { id: backend.id.clone(), accepting: report.accepting, in_flight, age_ms })
     };
     let mut loads: Vec<BackendLoad> = in_force.backends().into_values().filter_map(load).collect();
     loads.sort_unstable_by_key(|l| l.age_ms);
--- a/crates/burdock-node/src/fleet/install.rs
+++ b/crates/burdock-node/src/fleet/install.rs
@@ -37,10 +37,7 @@
 
 impl Default for ConfigState {
     fn default() -> Self {
-        Self {
-            held: Mutex::default(),
-            one_at_a_time: Semaphore::new(1),
-        }
+        Self { held: Mutex::default(), one_at_a_time: Semaphore::new(1) }
     }
 }
 
@@ -58,13 +55,7 @@
     pub fn tree(&self) -> Result<Value> {
         let held = self.held.lock();
         let text = |hash: &String| held.blobs.get(hash).map(AsRef::as_ref).unwrap_or_default();
-        join(
-            held.stored
-                .head
-                .manifest
-                .iter()
-                .map(|(name, hash)| (name.as_str(), text(hash))),
-        )
+        join(held.stored.head.manifest.iter().map(|(name, hash)| (name.as_str(), text(hash))))
     }
 
     /// The head, with those of the named blobs that are held.
@@ -107,10 +98,7 @@
 
 /// As [`reach`], from an instance known by its id.
 pub async fn reach_from(node: &Arc<Node>, revision: Revision, id: &InstanceId) {
-    let peer = node.fleet.peer_address(id).map(|address| PeerAddress {
-        id: id.clone(),
-        address,
-    });
+    let peer = node.fleet.peer_address(id).map(|address| PeerAddress { id: id.clone(), address });
     // A failure is logged and counted by `reach`; the next round tries again.
     let _logged = reach(node, revision, peer.as_ref()).await;
 }
@@ -153,10 +141,7 @@
 
 fn parse_head(cfg: &Configuration) -> Option<StoredHead> {
     let head: Head = serde_json::from_str(&cfg.head).ok()?;
-    Some(StoredHead {
-        head,
-        version: cfg.head_version,
-    })
+    Some(StoredHead { head, version: cfg.head_version })
 }
 
 async fn complete(node: &Arc<Node>, stored: StoredHead, from: Option<&PeerAddress>) -> Result<()> {
@@ -177,12 +162,7 @@
     }
     let revision = snapshot.revision;
     let now = node.clock.now();
-    node.in_force.store(Arc::new(InForce::after(
-        &before,
-        snapshot,
-        &node.settings.region,
-        now,
-    )));
+    node.in_force.store(Arc::new(InForce::after(&before, snapshot, &node.settings.region, now)));
     *node.config.held.lock() = Held { stored, blobs };
     records::apply(node);
     node.revision.send_replace(revision);
@@ -200,19 +180,11 @@
     let mut blobs = node.config.held.lock().blobs.clone();
     blobs.retain(|hash, _| head.manifest.values().any(|used| used == hash));
     let missing = |blobs: &BTreeMap<String, Arc<str>>| {
-        head.manifest
-            .values()
-            .filter(|hash| !blobs.contains_key(*hash))
-            .cloned()
-            .collect::<Vec<_>>()
+        head.manifest.values().filter(|hash| !blobs.contains_key(*hash)).cloned().collect::<Vec<_>>()
     };
     if let Some(peer) = from {
         for batch in missing(&blobs).chunks(BLOBS_PER_CALL) {
-            let told = node
-                .peers
-                .configuration(peer, batch.to_vec())
-                .await
-                .unwrap_or_default();
+            let told = node.peers.configuration(peer, batch.to_vec()).await.unwrap_or_default();
             for (hash, text) in told.blobs {
                 check_blob(&hash, &text)?;
                 blobs.insert(hash, text.into());
@@ -228,19 +200,12 @@
 
 fn resolve(head: &Head, blobs: &BTreeMap<String, Arc<str>>, old: &Snapshot) -> Result<Snapshot> {
     let text = |hash: &String| blobs.get(hash).map(AsRef::as_ref).unwrap_or_default();
-    let value = join(
-        head.manifest
-            .iter()
-            .map(|(name, hash)| (name.as_str(), text(hash))),
-    )?;
+    let value = join(head.manifest.iter().map(|(name, hash)| (name.as_str(), text(hash))))?;
     let tree = Tree::from_value(&value)?;
     let blocks = if tree.blocks == old.tree.blocks {
         Arc::clone(&old.blocks)
     } else {
-        let chunks = head
-            .manifest
-            .iter()
-            .filter(|(name, _)| name.starts_with(CHUNK_PREFIX));
+        let chunks = head.manifest.iter().filter(|(name, _)| name.starts_with(CHUNK_PREFIX));
         Arc::new(crate::admin::blocks::table(chunks.map(|(_, hash)| text(hash)))?)
     };
     Snapshot::new(head.revision, tree, blocks)
--- a/crates/burdock-node/src/fleet/mod.rs
+++ b/crates/burdock-node/src/fleet/mod.rs
@@ -112,10 +112,7 @@
             listed: true,
             change_pending: false,
         };
-        let addresses = Addresses {
-            callers: settings.listen.callers,
-            peers: settings.listen.peers,
-        };
+        let addresses = Addresses { callers: settings.listen.callers, peers: settings.listen.peers };
         let state = State {
             members: vec![member],
             addresses: HashMap::from([(own.instance.clone(), addresses)]),
@@ -185,12 +182,8 @@
     /// Takes in heartbeats from another instance.
     pub fn observe(&self, beats: &[Heartbeat], source: Source, now: Time) {
         let mut state = self.state.lock();
-        let by_hash: HashMap<u64, usize> = state
-            .members
-            .iter()
-            .enumerate()
-            .map(|(ix, m)| (id_hash(&m.id), ix))
-            .collect();
+        let by_hash: HashMap<u64, usize> =
+            state.members.iter().enumerate().map(|(ix, m)| (id_hash(&m.id), ix)).collect();
         for beat in beats {
             let Some(member) = by_hash.get(&beat.id_hash).map(|ix| &mut state.members[*ix]) else {
                 continue;
@@ -276,12 +269,7 @@
         const LONGEST_CHAIN: usize = 16;
         let state = self.state.lock();
         let next = |of: &Life| {
-            state
-                .successions
-                .iter()
-                .rev()
-                .find(|(s, _)| s.left == *of)
-                .map(|(s, _)| &s.successor)
+            state.successions.iter().rev().find(|(s, _)| s.left == *of).map(|(s, _)| &s.successor)
         };
         let mut found = next(life)?;
         for _ in 0..LONGEST_CHAIN {
@@ -301,9 +289,7 @@
                 state.successions.push((succession, now));
             }
         }
-        state
-            .successions
-            .retain(|(_, at)| now.since(*at) < SUCCESSION_KEPT);
+        state.successions.retain(|(_, at)| now.since(*at) < SUCCESSION_KEPT);
     }
 
     /// Successions to tell, newest last.
@@ -311,10 +297,7 @@
     pub fn successions(&self) -> Vec<Succession> {
         let state = self.state.lock();
         let first = state.successions.len().saturating_sub(MAX_SUCCESSIONS);
-        state.successions[first..]
-            .iter()
-            .map(|(s, _)| s.clone())
-            .collect()
+        state.successions[first..].iter().map(|(s, _)| s.clone()).collect()
     }
 
     fn contact_view(&self, now: Time) -> ContactView {
@@ -331,43 +314,29 @@
     fn refresh(&self, now: Time) {
         let mut state = self.state.lock();
         let count = state.members.len();
-        state
-            .members
-            .retain(|m| standing(m, count, now) != Standing::Gone);
+        state.members.retain(|m| standing(m, count, now) != Standing::Gone);
         let others = state.members.iter().filter(|m| m.id != self.own.instance);
         let mut heard: Vec<Option<Time>> = others.map(|m| m.confirmed).collect();
         let majority = majority_heard(now, &mut heard);
         let pending = state.change_pending(self.store_confirmed(), now);
         let view = state.view(now);
         drop(state);
-        self.contact
-            .majority_heard
-            .store(majority.map_or(0, |t| t.0), Ordering::Release);
-        self.contact
-            .change_pending
-            .store(u64::from(pending), Ordering::Release);
-        self.contact
-            .members
-            .store(view.entries.len() as u64, Ordering::Release);
+        self.contact.majority_heard.store(majority.map_or(0, |t| t.0), Ordering::Release);
+        self.contact.change_pending.store(u64::from(pending), Ordering::Release);
+        self.contact.members.store(view.entries.len() as u64, Ordering::Release);
         self.view.store(Arc::new(view));
     }
 }
 
 impl State {
     fn take_listed(&mut self, listed: &ListedInstance, now: Time) {
-        let names = (
-            InstanceId::new(&listed.id),
-            RegionName::new(&listed.region),
-            ZoneName::new(&listed.zone),
-        );
+        let names =
+            (InstanceId::new(&listed.id), RegionName::new(&listed.region), ZoneName::new(&listed.zone));
         let (Ok(id), Ok(region), Ok(zone)) = names else {
             log::warn!("the platform's list has a malformed instance: {listed:?}");
             return;
         };
-        let addresses = Addresses {
-            callers: listed.address,
-            peers: listed.peer_address,
-        };
+        let addresses = Addresses { callers: listed.address, peers: listed.peer_address };
         self.addresses.insert(id.clone(), addresses);
         if let Some(member) = self.members.iter_mut().find(|m| m.id == id) {
             member.listed = true;
@@ -393,10 +362,8 @@
     // A change is pending while one that was announced here, or at an instance in touch, is not settled.
     fn change_pending(&self, store_confirmed: Option<Time>, now: Time) -> bool {
         let count = self.members.len();
-        let told = self
-            .members
-            .iter()
-            .any(|m| m.change_pending && standing(m, count, now) != Standing::Suspect);
+        let told =
+            self.members.iter().any(|m| m.change_pending && standing(m, count, now) != Standing::Suspect);
         told || self.own_change_pending(store_confirmed)
     }
 
@@ -411,10 +378,7 @@
         let entry = |member: &Member| {
             let addresses = self.addresses.get(&member.id)?;
             Some(Entry {
-                life: Life {
-                    instance: member.id.clone(),
-                    incarnation: member.incarnation,
-                },
+                life: Life { instance: member.id.clone(), incarnation: member.incarnation },
                 region: member.region.clone(),
                 zone: member.zone.clone(),
                 address: addresses.callers,
@@ -424,9 +388,7 @@
                 revision: member.revision,
             })
         };
-        FleetView {
-            entries: self.members.iter().filter_map(entry).collect(),
-        }
+        FleetView { entries: self.members.iter().filter_map(entry).collect() }
     }
 }
 
--- a/crates/burdock-node/src/fleet/plan.rs
+++ b/crates/burdock-node/src/fleet/plan.rs
@@ -40,10 +40,7 @@
 /// Takes up a split that another instance has, if there is none of its own yet.
 pub fn adopt(service: &ServiceState, parts: &[u32], now: Time) {
     if service.split.load().at.is_none() {
-        service.split.store(Arc::new(SplitState {
-            parts: parts.to_vec(),
-            at: Some(now),
-        }));
+        service.split.store(Arc::new(SplitState { parts: parts.to_vec(), at: Some(now) }));
     }
 }
 
@@ -62,11 +59,8 @@
 
 fn plan(node: &Node, service: &ServiceState, began: Time, now: Time) {
     let senders = senders(node);
-    let views: Vec<Vec<BackendView>> = service
-        .regions
-        .iter()
-        .map(|r| r.backends.iter().map(|b| b.view(now)).collect())
-        .collect();
+    let views: Vec<Vec<BackendView>> =
+        service.regions.iter().map(|r| r.backends.iter().map(|b| b.view(now)).collect()).collect();
     let usable = views.iter().flatten().filter(|v| v.open);
     let limit = running_limit(usable, senders, now);
     service.admission.set_limit(limit, node.clock);
@@ -85,11 +79,7 @@
         None => target,
         Some(at) => {
             let planned = service.regions.iter().any(|r| r.planned.is_some());
-            let cap = if planned && all_work(&regions) {
-                service.plan_cap
-            } else {
-                service.failover_cap
-            };
+            let cap = if planned && all_work(&regions) { service.plan_cap } else { service.failover_cap };
             slew(&present.parts, &target, cap, now.since(at).min(LONGEST_STEP))
         }
     };
@@ -97,9 +87,7 @@
 }
 
 fn all_work(regions: &[RegionView]) -> bool {
-    regions
-        .iter()
-        .all(|r| r.slots > 0 || r.planned_per_mille == Some(0))
+    regions.iter().all(|r| r.slots > 0 || r.planned_per_mille == Some(0))
 }
 
 fn region_view(
@@ -120,20 +108,13 @@
         one_way: region.one_way,
         senders: u32::try_from(senders).unwrap_or(u32::MAX),
         planned_per_mille: region.planned,
-        link_room: link
-            .filter(|_| !region.local)
-            .map(|bytes| bytes / senders.max(1) as u64),
+        link_room: link.filter(|_| !region.local).map(|bytes| bytes / senders.max(1) as u64),
     }
 }
 
 fn demand(service: &ServiceState, views: &[Vec<BackendView>], node: &Node) -> DemandView {
     let load = service.admission.load();
-    let times: Vec<Duration> = views
-        .iter()
-        .flatten()
-        .filter(|v| v.open)
-        .map(|v| v.service_time)
-        .collect();
+    let times: Vec<Duration> = views.iter().flatten().filter(|v| v.open).map(|v| v.service_time).collect();
     let mean = times.iter().sum::<Duration>() / u32::try_from(times.len().max(1)).unwrap_or(1);
     DemandView {
         in_flight: u32::try_from(load.running + load.waiting).unwrap_or(u32::MAX),
@@ -146,9 +127,5 @@
 // Instances that may send work anywhere: those that are alive.
 fn senders(node: &Node) -> usize {
     let view = node.fleet.view();
-    view.entries
-        .iter()
-        .filter(|e| e.standing == Standing::Alive)
-        .count()
-        .max(1)
+    view.entries.iter().filter(|e| e.standing == Standing::Alive).count().max(1)
 }
--- a/crates/burdock-node/src/fleet/probe.rs
+++ b/crates/burdock-node/src/fleet/probe.rs
@@ -41,9 +41,7 @@
 pub async fn probe_loop(node: Arc<Node>) {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(LIMIT));
-    let client: Probe = Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(1)
-        .build(connector);
+    let client: Probe = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build(connector);
     loop {
         let in_force = node.in_force.load_full();
         for backend in in_force.backends().into_values().filter(|b| is_prober(&node, b)) {
@@ -59,37 +57,21 @@
     let alive = || view.entries.iter().filter(|e| e.standing == Standing::Alive);
     let near = || alive().filter(|e| e.region == backend.region);
     let ids = |e: &crate::fleet::Entry| e.life.instance.as_str().to_owned();
-    let candidates: Vec<String> = if near().next().is_some() {
-        near().map(ids).collect()
-    } else {
-        alive().map(ids).collect()
-    };
-    probes(
-        backend.id.as_str(),
-        node.life.instance.as_str(),
-        candidates.iter().map(String::as_str),
-    )
+    let candidates: Vec<String> =
+        if near().next().is_some() { near().map(ids).collect() } else { alive().map(ids).collect() };
+    probes(backend.id.as_str(), node.life.instance.as_str(), candidates.iter().map(String::as_str))
 }
 
 async fn probe(node: &Node, backend: &BackendState, client: &Probe) {
     node.counters.add(Counter::Probes);
     let asked = node.clock.now();
-    let answer = tokio::time::timeout(LIMIT, ask(backend, client))
-        .await
-        .ok()
-        .flatten();
+    let answer = tokio::time::timeout(LIMIT, ask(backend, client)).await.ok().flatten();
     let report = match &answer {
-        Some(health) => Report {
-            in_flight: Some(health.in_flight),
-            at: asked,
-            accepting: health.accepting,
-        },
+        Some(health) => Report { in_flight: Some(health.in_flight), at: asked, accepting: health.accepting },
         // Others are told that it takes no work; the load is what it was.
-        None => Report {
-            in_flight: Some(backend.report().in_flight.unwrap_or(0)),
-            at: asked,
-            accepting: false,
-        },
+        None => {
+            Report { in_flight: Some(backend.report().in_flight.unwrap_or(0)), at: asked, accepting: false }
+        }
     };
     backend.reported(report);
     if backend.probed(answer.is_some(), asked) {
@@ -104,10 +86,6 @@
     if !resp.status().is_success() {
         return None;
     }
-    let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
+    let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
     serde_json::from_slice(&body).ok()
 }
--- a/crates/burdock-node/src/fleet/watch.rs
+++ b/crates/burdock-node/src/fleet/watch.rs
@@ -75,15 +75,9 @@
 pub async fn tell_fleet(node: &Arc<Node>, revision: Revision) {
     let members = node.fleet.members();
     let zones: std::collections::BTreeSet<_> = members.iter().map(|m| m.zone.clone()).collect();
-    let told: Vec<_> = zones
-        .iter()
-        .flat_map(|z| watchers(z, members.iter()))
-        .map(|m| m.id.clone())
-        .collect();
+    let told: Vec<_> = zones.iter().flat_map(|z| watchers(z, members.iter())).map(|m| m.id.clone()).collect();
     let own_zone = node.settings.zone.clone();
-    let telling = tell(node, revision, |e| {
-        e.zone == own_zone || told.contains(&e.life.instance)
-    });
+    let telling = tell(node, revision, |e| e.zone == own_zone || told.contains(&e.life.instance));
     // Who is slower has it a little later, by this message or by the next round.
     let _late = tokio::time::timeout(ACCEPT_WAIT, futures::future::join_all(telling)).await;
 }
@@ -94,10 +88,7 @@
     let behind = |e: &&Entry| e.life != node.life && e.revision < revision && e.standing != Standing::Suspect;
     let mut telling = Vec::new();
     for entry in view.entries.iter().filter(behind).filter(|e| to(e)) {
-        let peer = PeerAddress {
-            id: entry.life.instance.clone(),
-            address: entry.peer_address,
-        };
+        let peer = PeerAddress { id: entry.life.instance.clone(), address: entry.peer_address };
         let node = Arc::clone(node);
         telling.push(tokio::spawn(async move {
             let _missed = node.peers.head_changed(&peer, revision).await;
@@ -110,11 +101,7 @@
     let asked = node.clock.now();
     // The first answer comes at once and tells everything that is there.
     let wait = if index == 0 { Duration::ZERO } else { WAIT };
-    let watch = Watch {
-        prefix: PREFIX.to_owned(),
-        since: index,
-        wait,
-    };
+    let watch = Watch { prefix: PREFIX.to_owned(), since: index, wait };
     let answer = (node.store.watch)(watch).await?;
     let changed = |key: &str| answer.changes.iter().any(|c| c.key == key);
     if index == 0 || changed(HEAD_KEY) {
@@ -138,11 +125,9 @@
     let Some(found) = node.store.read(key).await? else {
         return Ok(false);
     };
-    node.limits.records.take(&ShareBucket {
-        bucket,
-        version: found.version,
-        records: found.value,
-    })
+    node.limits
+        .records
+        .take(&ShareBucket { bucket, version: found.version, records: found.value }, node.clock.now())
 }
 
 fn is_watcher(node: &Node) -> bool {
@@ -150,14 +135,8 @@
     // Members that are silent or leaving don't count, so that a zone is never without a watcher for long.
     let view = node.fleet.view();
     let alive = |id: &InstanceId| {
-        view.entries
-            .iter()
-            .any(|e| e.life.instance == *id && e.standing == Standing::Alive)
+        view.entries.iter().any(|e| e.life.instance == *id && e.standing == Standing::Alive)
     };
-    let candidates = members
-        .iter()
-        .filter(|m| m.id == node.life.instance || alive(&m.id));
-    watchers(&node.settings.zone, candidates)
-        .iter()
-        .any(|m| m.id == node.life.instance)
+    let candidates = members.iter().filter(|m| m.id == node.life.instance || alive(&m.id));
+    watchers(&node.settings.zone, candidates).iter().any(|m| m.id == node.life.instance)
 }
--- a/crates/burdock-node/src/forward/admission.rs
+++ b/crates/burdock-node/src/forward/admission.rs
@@ -32,10 +32,7 @@
 impl Default for Admission {
     fn default() -> Self {
         Self {
-            state: Mutex::new(Waiting {
-                queue: FairQueue::new(FIRST_LIMIT, ROOM),
-                wakers: HashMap::new(),
-            }),
+            state: Mutex::new(Waiting { queue: FairQueue::new(FIRST_LIMIT, ROOM), wakers: HashMap::new() }),
         }
     }
 }
@@ -87,12 +84,7 @@
             state.wakers.insert(ticket, tx);
             (ticket, rx)
         };
-        let place = Place {
-            admission: self,
-            ticket,
-            clock,
-            done: false,
-        };
+        let place = Place { admission: self, ticket, clock, done: false };
         place.wait(rx, deadline).await
     }
 
@@ -107,18 +99,11 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let state = self.state.lock();
-        Load {
-            running: state.queue.running(),
-            waiting: state.queue.waiting(),
-            limit: state.queue.limit(),
-        }
+        Load { running: state.queue.running(), waiting: state.queue.waiting(), limit: state.queue.limit() }
     }
 
     fn permit(self: &Arc<Self>, clock: Clock) -> Permit {
-        Permit {
-            admission: Arc::clone(self),
-            clock,
-        }
+        Permit { admission: Arc::clone(self), clock }
     }
 }
 
--- a/crates/burdock-node/src/forward/attempt.rs
+++ b/crates/burdock-node/src/forward/attempt.rs
@@ -60,25 +60,13 @@
     let mut connection = match connect {
         Ok(Ok(connection)) => connection,
         Ok(Err(detail)) => {
-            let error = Error::new(
-                ErrorKind::NoBackend,
-                format!("backend server `{}`: {detail}", backend.id),
-            );
-            return Err(Failed {
-                progress: Progress::NotWritten,
-                error,
-                body: Some(body),
-                crashed: false,
-            });
+            let error =
+                Error::new(ErrorKind::NoBackend, format!("backend server `{}`: {detail}", backend.id));
+            return Err(Failed { progress: Progress::NotWritten, error, body: Some(body), crashed: false });
         }
         Err(_elapsed) => {
             let error = Error::from(ErrorKind::DeadlineBefore);
-            return Err(Failed {
-                progress: Progress::NotWritten,
-                error,
-                body: Some(body),
-                crashed: false,
-            });
+            return Err(Failed { progress: Progress::NotWritten, error, body: Some(body), crashed: false });
         }
     };
     let _span = outbound.trace.hop("forward");
@@ -90,28 +78,16 @@
         }
         Ok(Err(mut e)) => match e.take_message() {
             Some(req) => {
-                let error = Error::new(
-                    ErrorKind::NoBackend,
-                    format!("backend server `{}` closed", backend.id),
-                );
+                let error =
+                    Error::new(ErrorKind::NoBackend, format!("backend server `{}` closed", backend.id));
                 let body = Some(req.into_body());
-                Err(Failed {
-                    progress: Progress::NotWritten,
-                    error,
-                    body,
-                    crashed: false,
-                })
+                Err(Failed { progress: Progress::NotWritten, error, body, crashed: false })
             }
             None => Err(broken(backend, &e.into_error()).await),
         },
         Err(_elapsed) => {
             let error = Error::from(ErrorKind::DeadlineAfter);
-            Err(Failed {
-                progress: Progress::Written,
-                error,
-                body: None,
-                crashed: false,
-            })
+            Err(Failed { progress: Progress::Written, error, body: None, crashed: false })
         }
     }
 }
@@ -123,51 +99,27 @@
 ) -> Result<Answered, Failed> {
     let shed = resp.status() == http::StatusCode::SERVICE_UNAVAILABLE && resp.headers().contains_key(SHED);
     if !shed {
-        return Ok(Answered {
-            resp,
-            connection,
-            in_flight,
-        });
+        return Ok(Answered { resp, connection, in_flight });
     }
     let backend = in_flight.backend();
-    let error = Error::new(
-        ErrorKind::Overloaded,
-        format!("backend server `{}` shed the request", backend.id),
-    );
-    Err(Failed {
-        progress: Progress::Shed,
-        error,
-        body: None,
-        crashed: false,
-    })
+    let error =
+        Error::new(ErrorKind::Overloaded, format!("backend server `{}` shed the request", backend.id));
+    Err(Failed { progress: Progress::Shed, error, body: None, crashed: false })
 }
 
 // A connection that breaks may be one broken answer. If no new one is accepted, the backend server died.
 async fn broken(backend: &BackendState, e: &hyper::Error) -> Failed {
     if is_callers_fault(e) {
         let error = Error::new(ErrorKind::BodyCut, "the body broke off or passed its limit");
-        return Failed {
-            progress: Progress::Written,
-            error,
-            body: None,
-            crashed: false,
-        };
+        return Failed { progress: Progress::Written, error, body: None, crashed: false };
     }
     let crashed = !backend.pool.accepts().await;
     if crashed {
         backend.pool.clear();
     }
     let what = if crashed { "died" } else { "broke its answer" };
-    let error = Error::new(
-        ErrorKind::BadAnswer,
-        format!("backend server `{}` {what}: {e}", backend.id),
-    );
-    Failed {
-        progress: Progress::Written,
-        error,
-        body: None,
-        crashed,
-    }
+    let error = Error::new(ErrorKind::BadAnswer, format!("backend server `{}` {what}: {e}", backend.id));
+    Failed { progress: Progress::Written, error, body: None, crashed }
 }
 
 fn is_callers_fault(e: &hyper::Error) -> bool {
--- a/crates/burdock-node/src/forward/backends.rs
+++ b/crates/burdock-node/src/forward/backends.rs
@@ -68,10 +68,7 @@
             service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
             since: AtomicU64::new(now.0),
             health: Mutex::default(),
-            report: Mutex::new(Report {
-                accepting: true,
-                ..Report::default()
-            }),
+            report: Mutex::new(Report { accepting: true, ..Report::default() }),
         }
     }
 
@@ -119,11 +116,7 @@
         if alone {
             self.alone.store(true, Ordering::Relaxed);
         }
-        InFlight {
-            backend: Arc::clone(self),
-            began: now,
-            alone,
-        }
+        InFlight { backend: Arc::clone(self), began: now, alone }
     }
 
     /// Requests from here at work there.
--- a/crates/burdock-node/src/forward/body.rs
+++ b/crates/burdock-node/src/forward/body.rs
@@ -72,11 +72,7 @@
         match self.get_mut() {
             Self::Held(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Held(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Streamed {
-                incoming,
-                passed,
-                limit,
-            } => {
+            Self::Streamed { incoming, passed, limit } => {
                 let frame = std::task::ready!(Pin::new(incoming).poll_frame(cx));
                 Poll::Ready(frame.map(|f| counted(f, passed, *limit)))
             }
--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -38,11 +38,7 @@
     /// An empty pool.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Mutex::default(),
-            open: std::sync::Arc::default(),
-        }
+        Self { address, idle: Mutex::default(), open: std::sync::Arc::default() }
     }
 
     /// Connections that are open.
@@ -79,10 +75,7 @@
 
     /// Whether a new connection is accepted at this moment.
     pub async fn accepts(&self) -> bool {
-        matches!(
-            tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await,
-            Ok(Ok(_))
-        )
+        matches!(tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await, Ok(Ok(_)))
     }
 
     fn pop(&self) -> Option<Connection> {
@@ -96,10 +89,8 @@
         let stream = connect.map_err(|_elapsed| format!("no connection within {CONNECT_LIMIT:?}"))?;
         let stream = stream.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await;
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         tokio::spawn(async move {
             // How it ends is seen by the request that was on it.
--- a/crates/burdock-node/src/forward/quarantine.rs
+++ b/crates/burdock-node/src/forward/quarantine.rs
@@ -28,10 +28,7 @@
         if !self.any.load(Ordering::Relaxed) {
             return Verdict::Run;
         }
-        self.strikes
-            .lock(fingerprint)
-            .get(&fingerprint)
-            .map_or(Verdict::Run, |(s, _)| s.verdict(now))
+        self.strikes.lock(fingerprint).get(&fingerprint).map_or(Verdict::Run, |(s, _)| s.verdict(now))
     }
 
     /// Notes a crash. Returns whether it was news.
--- a/crates/burdock-node/src/forward/run.rs
+++ b/crates/burdock-node/src/forward/run.rs
@@ -43,25 +43,15 @@
         Verdict::RunAlone => true,
         Verdict::Refuse => {
             node.counters.add(Counter::Quarantined);
-            return Err(Error::new(
-                ErrorKind::Quarantined,
-                "the request crashed several backend servers",
-            )
-            .hint("change the request; it is held back for a minute after its last crash"));
+            return Err(Error::new(ErrorKind::Quarantined, "the request crashed several backend servers")
+                .hint("change the request; it is held back for a minute after its last crash"));
         }
     };
     let service = service_of(outbound);
     let (lane, weight) = lane(outbound);
-    let permit = service
-        .admission
-        .enter(lane, weight, outbound.deadline, node.clock)
-        .await?;
+    let permit = service.admission.enter(lane, weight, outbound.deadline, node.clock).await?;
     let answered = attempts(node, outbound, service, body, alone).await?;
-    Ok(Running {
-        answered,
-        permit,
-        alone,
-    })
+    Ok(Running { answered, permit, alone })
 }
 
 /// The service that a request's route leads to.
@@ -74,10 +64,9 @@
 // Callers of open routes share one lane. The hash of the name outlives a change of configuration.
 fn lane(outbound: &Outbound) -> (u64, u32) {
     match &outbound.organisation {
-        Some((ix, name)) => (
-            stable(name.as_str().as_bytes(), 0),
-            outbound.in_force.snapshot.organisations[*ix].weight,
-        ),
+        Some((ix, name)) => {
+            (stable(name.as_str().as_bytes(), 0), outbound.in_force.snapshot.organisations[*ix].weight)
+        }
         None => (0, 1),
     }
 }
@@ -141,9 +130,7 @@
     alone: bool,
 ) -> std::result::Result<Answered, Failed> {
     let wait = outbound.policy.hedge_after.duration();
-    let copy = body
-        .copy()
-        .filter(|_| outbound.repeatable && !wait.is_zero() && !alone);
+    let copy = body.copy().filter(|_| outbound.repeatable && !wait.is_zero() && !alone);
     let Some(copy) = copy else {
         return attempt(node, outbound, backend, body, alone).await;
     };
@@ -189,15 +176,9 @@
     alone: bool,
 ) -> Option<Arc<BackendState>> {
     let now = node.clock.now();
-    let views: Vec<BackendView> = region
-        .backends
-        .iter()
-        .map(|b| view_for(b.view(now), alone))
-        .collect();
+    let views: Vec<BackendView> = region.backends.iter().map(|b| view_for(b.view(now), alone)).collect();
     let is_tried = |b: &Arc<BackendState>| tried.iter().any(|t| t.id == b.id);
-    let excluded: Vec<usize> = (0..views.len())
-        .filter(|ix| is_tried(&region.backends[*ix]))
-        .collect();
+    let excluded: Vec<usize> = (0..views.len()).filter(|ix| is_tried(&region.backends[*ix])).collect();
     pick(&views, &excluded, rand::random(), now).map(|ix| Arc::clone(&region.backends[ix]))
 }
 
@@ -208,11 +189,8 @@
 }
 
 fn none_left(service: &ServiceState) -> Error {
-    Error::new(
-        ErrorKind::NoBackend,
-        format!("no backend server of `{}` takes work now", service.name),
-    )
-    .hint("`burdockctl status` shows which are drained or out")
+    Error::new(ErrorKind::NoBackend, format!("no backend server of `{}` takes work now", service.name))
+        .hint("`burdockctl status` shows which are drained or out")
 }
 
 fn note_failure(node: &Node, outbound: &Outbound, backend: &BackendState, failed: &Failed) {
@@ -230,20 +208,14 @@
     }
     if failed.crashed && node.quarantine.crashed(outbound.fingerprint, &backend.id, now) {
         node.counters.add(Counter::Strikes);
-        log::warn!(
-            "backend server {} died on request {:?}",
-            backend.id,
-            outbound.request_id
-        );
+        log::warn!("backend server {} died on request {:?}", backend.id, outbound.request_id);
     }
 }
 
 fn earn_budget(node: &Node, outbound: &Outbound) {
-    node.limits
-        .retry_budget(outbound.organisation_name(), |budget| budget.earn());
+    node.limits.retry_budget(outbound.organisation_name(), |budget| budget.earn());
 }
 
 fn spend_budget(node: &Node, outbound: &Outbound) -> bool {
-    node.limits
-        .retry_budget(outbound.organisation_name(), |budget| budget.spend())
+    node.limits.retry_budget(outbound.organisation_name(), |budget| budget.spend())
 }
--- a/crates/burdock-node/src/in_force.rs
+++ b/crates/burdock-node/src/in_force.rs
@@ -68,10 +68,7 @@
     /// Nothing in force.
     #[must_use]
     pub fn empty() -> Self {
-        Self {
-            snapshot: Arc::new(Snapshot::empty()),
-            services: Vec::new(),
-        }
+        Self { snapshot: Arc::new(Snapshot::empty()), services: Vec::new() }
     }
 
     /// A snapshot with the state that goes on from what was in force before.
@@ -85,10 +82,7 @@
                 service_state(&snapshot, ix, old, &known, own_region, now)
             })
             .collect();
-        Self {
-            snapshot: Arc::new(snapshot),
-            services,
-        }
+        Self { snapshot: Arc::new(snapshot), services }
     }
 
     /// Every backend server by id.
@@ -139,12 +133,8 @@
         name: service.name.clone(),
         split: split.unwrap_or_else(|| Arc::new(ArcSwap::from_pointee(first_split(&regions)))),
         admission: old.map(|o| Arc::clone(&o.admission)).unwrap_or_default(),
-        plan_cap: node
-            .and_then(|n| n.plan_shift_per_mille)
-            .unwrap_or(PLAN_CAP_PER_MILLE),
-        failover_cap: node
-            .and_then(|n| n.failover_shift_per_mille)
-            .unwrap_or(FAILOVER_CAP_PER_MILLE),
+        plan_cap: node.and_then(|n| n.plan_shift_per_mille).unwrap_or(PLAN_CAP_PER_MILLE),
+        failover_cap: node.and_then(|n| n.failover_shift_per_mille).unwrap_or(FAILOVER_CAP_PER_MILLE),
         regions,
     }
 }
@@ -152,9 +142,7 @@
 // Before the first plan all goes to the own region, or to the first where there is none.
 fn first_split(regions: &[RegionState]) -> SplitState {
     let home = regions.iter().position(|r| r.local).unwrap_or(0);
-    let parts = (0..regions.len())
-        .map(|ix| if ix == home { SPLIT_WHOLE } else { 0 })
-        .collect();
+    let parts = (0..regions.len()).map(|ix| if ix == home { SPLIT_WHOLE } else { 0 }).collect();
     SplitState { parts, at: None }
 }
 
--- a/crates/burdock-node/src/limits/borrow.rs
+++ b/crates/burdock-node/src/limits/borrow.rs
@@ -56,17 +56,10 @@
 ) -> bool {
     node.counters.add(Counter::LoansAsked);
     let limit = if local { LOCAL_LIMIT } else { REMOTE_LIMIT };
-    let loan = node
-        .peers
-        .lend(peer, organisation.as_str().to_owned(), wanted, limit)
-        .await;
+    let loan = node.peers.lend(peer, organisation.as_str().to_owned(), wanted, limit).await;
     // Without an answer the holder counts as empty for a moment; what it may have given is lost.
-    let loan = loan.unwrap_or(Loan {
-        refused: true,
-        ..Loan::default()
-    });
-    node.counters
-        .add_many(Counter::TokensBorrowed, u64::from(loan.granted));
+    let loan = loan.unwrap_or(Loan { refused: true, ..Loan::default() });
+    node.counters.add_many(Counter::TokensBorrowed, u64::from(loan.granted));
     node.limits.borrowed(organisation, peer, &loan, node.clock.now());
     loan.granted > 0
 }
@@ -92,12 +85,7 @@
             let lenders: Vec<_> = limit.lenders.iter().map(|(_, l)| *l).collect();
             let ix = choose_lender(&lenders, tried, now)?;
             let (peer, lender) = &limit.lenders[ix];
-            Some((
-                ix,
-                peer.clone(),
-                lender.local,
-                tokens_to_ask(limit.window.last_second),
-            ))
+            Some((ix, peer.clone(), lender.local, tokens_to_ask(limit.window.last_second)))
         })
     }
 
--- a/crates/burdock-node/src/limits/keeper.rs
+++ b/crates/burdock-node/src/limits/keeper.rs
@@ -9,7 +9,7 @@
 
 use burdock_decide::connectivity::takeover_wait;
 use burdock_decide::membership::Standing;
-use burdock_decide::shares::{HolderView, ShareRecord, Step, assigned, even_split, next_step};
+use burdock_decide::shares::{HolderView, KeeperView, ShareRecord, Step, assigned, even_split, next_step};
 use burdock_model::error::Result;
 use burdock_model::hash::ranked;
 use burdock_model::ids::{Life, OrganisationName};
@@ -50,20 +50,14 @@
 
 fn is_keeper(node: &Node, view: &FleetView, bucket: u32) -> bool {
     let alive = view.entries.iter().filter(|e| e.standing == Standing::Alive);
-    let first = ranked(u64::from(bucket), alive, |e| e.life.instance.as_str())
-        .into_iter()
-        .next();
+    let first = ranked(u64::from(bucket), alive, |e| e.life.instance.as_str()).into_iter().next();
     first.is_some_and(|e| e.life == node.life)
 }
 
 async fn keep(node: &Arc<Node>, view: &FleetView, bucket: u32) -> Result<()> {
     let in_force = node.in_force.load_full();
-    let organisations: Vec<&Organisation> = in_force
-        .snapshot
-        .organisations
-        .iter()
-        .filter(|o| bucket_of(&o.name) == bucket)
-        .collect();
+    let organisations: Vec<&Organisation> =
+        in_force.snapshot.organisations.iter().filter(|o| bucket_of(&o.name) == bucket).collect();
     // A move takes two writes; a third finds nothing left to do.
     for _ in 0..MAX_STEPS {
         let confirmed = ask_holders(node, view, bucket, &organisations).await;
@@ -86,9 +80,14 @@
     let mut records: BTreeMap<OrganisationName, ShareRecord> = BTreeMap::new();
     let mut changed = false;
     for organisation in organisations {
-        let record = node.limits.records.record(&organisation.name).unwrap_or_default();
-        let holder = |life: &Life| holder_view(node, view, confirmed, life, &organisation.name);
-        let next = match next_step(&record, &wanted(organisation, view), holder) {
+        let (record, since) = node.limits.records.known(&organisation.name).unwrap_or_default();
+        let keeper = KeeperView {
+            record: &record,
+            known_for: node.clock.now().since(since),
+            want: &wanted(organisation, view),
+            takeover_wait: takeover_wait(view.entries.len()),
+        };
+        let next = match next_step(&keeper, |life| holder_view(node, confirmed, life, &organisation.name)) {
             Step::Settled | Step::Wait => record,
             Step::Write(next) => {
                 changed = true;
@@ -104,50 +103,30 @@
     let text = records::write(&records);
     let version = node.store.write_if(&key_of(bucket), &text, version).await?;
     node.counters.add(Counter::ShareWrites);
-    node.limits.records.take(&ShareBucket {
-        bucket,
-        version,
-        records: text,
-    })?;
+    node.limits.records.take(&ShareBucket { bucket, version, records: text }, node.clock.now())?;
     apply(node);
     Ok(true)
 }
 
 // The split that should be: an even one over the instances assigned to the organisation.
 fn wanted(organisation: &Organisation, view: &FleetView) -> BTreeMap<Life, u64> {
-    let alive: Vec<&Entry> = view
-        .entries
-        .iter()
-        .filter(|e| e.standing == Standing::Alive)
-        .collect();
+    let alive: Vec<&Entry> = view.entries.iter().filter(|e| e.standing == Standing::Alive).collect();
     let rate = organisation.rate.micros_per_second() / burdock_model::units::MICROS;
     let candidates = alive.iter().map(|e| (&e.life.instance, &e.region));
     let chosen = assigned(organisation.name.as_str(), rate, organisation.burst, candidates);
-    let lives: BTreeSet<Life> = alive
-        .iter()
-        .filter(|e| chosen.contains(&&e.life.instance))
-        .map(|e| e.life.clone())
-        .collect();
+    let lives: BTreeSet<Life> =
+        alive.iter().filter(|e| chosen.contains(&&e.life.instance)).map(|e| e.life.clone()).collect();
     even_split(&lives)
 }
 
 fn holder_view(
     node: &Node,
-    view: &FleetView,
     confirmed: &Confirmed,
     life: &Life,
     organisation: &OrganisationName,
 ) -> HolderView {
-    let version = confirmed
-        .get(life)
-        .and_then(|versions| versions.get(organisation))
-        .copied()
-        .unwrap_or(0);
-    let silent = node.fleet.silent_for(life, node.clock.now());
-    HolderView {
-        confirmed: version,
-        stopped: silent > takeover_wait(view.entries.len()),
-    }
+    let version = confirmed.get(life).and_then(|versions| versions.get(organisation)).copied().unwrap_or(0);
+    HolderView { confirmed: version, silent_for: node.fleet.silent_for(life, node.clock.now()) }
 }
 
 async fn ask_holders(
@@ -157,9 +136,7 @@
     organisations: &[&Organisation],
 ) -> Confirmed {
     // Only holders of a record that moves have anything to confirm.
-    let records = organisations
-        .iter()
-        .filter_map(|o| node.limits.records.record(&o.name));
+    let records = organisations.iter().filter_map(|o| node.limits.records.record(&o.name));
     let records = records.filter(|r| !r.is_settled());
     let holders: BTreeSet<Life> = records.flat_map(|r| r.present.into_keys()).collect();
     let asks = holders.into_iter().map(|life| async move {
@@ -181,18 +158,11 @@
     let Some(entry) = view.entries.iter().find(|e| e.life == *life) else {
         return BTreeMap::new();
     };
-    let peer = PeerAddress {
-        id: life.instance.clone(),
-        address: entry.peer_address,
-    };
+    let peer = PeerAddress { id: life.instance.clone(), address: entry.peer_address };
     let answer = node.peers.acting_shares(&peer, bucket).await.unwrap_or_default();
     let parsed: Result<(String, BTreeMap<OrganisationName, u64>), _> = serde_json::from_str(&answer);
     // Another life of the same instance does not speak for this one.
-    parsed
-        .ok()
-        .filter(|(of, _)| *of == life.to_string())
-        .map(|(_, versions)| versions)
-        .unwrap_or_default()
+    parsed.ok().filter(|(of, _)| *of == life.to_string()).map(|(_, versions)| versions).unwrap_or_default()
 }
 
 /// The answer to [`ask_holders`]: who speaks, and the versions it acts on.
--- a/crates/burdock-node/src/limits/mod.rs
+++ b/crates/burdock-node/src/limits/mod.rs
@@ -110,9 +110,7 @@
         if let Some(limit) = shard.get_mut(name) {
             return f(limit);
         }
-        f(shard
-            .entry(name.clone())
-            .or_insert_with(|| OrganisationLimit::new(now)))
+        f(shard.entry(name.clone()).or_insert_with(|| OrganisationLimit::new(now)))
     }
 }
 
@@ -128,24 +126,10 @@
 
     // What is remembered of a lender outlives a new record.
     fn lender_of(&self, holder: HolderView) -> (PeerAddress, Lender) {
-        let known = self
-            .lenders
-            .iter()
-            .find(|(peer, _)| *peer == holder.peer)
-            .map(|(_, l)| *l);
-        let lender = known.unwrap_or(Lender {
-            local: holder.local,
-            left: None,
-            asked: Time::default(),
-            rate: 0,
-        });
-        (
-            holder.peer,
-            Lender {
-                rate: holder.allotment.rate,
-                ..lender
-            },
-        )
+        let known = self.lenders.iter().find(|(peer, _)| *peer == holder.peer).map(|(_, l)| *l);
+        let lender =
+            known.unwrap_or(Lender { local: holder.local, left: None, asked: Time::default(), rate: 0 });
+        (holder.peer, Lender { rate: holder.allotment.rate, ..lender })
     }
 }
 
--- a/crates/burdock-node/src/limits/records.rs
+++ b/crates/burdock-node/src/limits/records.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use burdock_decide::shares::ShareRecord;
+use burdock_decide::time::Time;
 use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::hash::stable;
 use burdock_model::ids::{Life, OrganisationName};
@@ -47,7 +48,7 @@
 struct Held {
     version: u64,
     text: String,
-    records: BTreeMap<OrganisationName, ShareRecord>,
+    records: BTreeMap<OrganisationName, (ShareRecord, Time)>,
 }
 
 impl Records {
@@ -55,20 +56,24 @@
     ///
     /// # Errors
     /// [`ErrorKind::Internal`] when it is malformed.
-    pub fn take(&self, bucket: &ShareBucket) -> Result<bool> {
+    pub fn take(&self, bucket: &ShareBucket, now: Time) -> Result<bool> {
         let mut buckets = self.buckets.lock();
-        if buckets
-            .get(&bucket.bucket)
-            .is_some_and(|held| held.version >= bucket.version)
-        {
+        if buckets.get(&bucket.bucket).is_some_and(|held| held.version >= bucket.version) {
             return Ok(false);
         }
-        let records = parse(&bucket.records)?;
-        let held = Held {
-            version: bucket.version,
-            text: bucket.records.clone(),
-            records,
+        let parsed = parse(&bucket.records)?;
+        let before = buckets.get(&bucket.bucket).map(|held| &held.records);
+        // A record that did not change keeps the time since when it is known.
+        let since = |name: &OrganisationName, record: &ShareRecord| {
+            let same =
+                before.and_then(|known| known.get(name)).filter(|(known, _)| known.version == record.version);
+            same.map_or(now, |(_, since)| *since)
         };
+        let records = parsed.into_iter().map(|(name, record)| {
+            let since = since(&name, &record);
+            (name, (record, since))
+        });
+        let held = Held { version: bucket.version, text: bucket.records.clone(), records: records.collect() };
         buckets.insert(bucket.bucket, held);
         Ok(true)
     }
@@ -76,12 +81,14 @@
     /// The record of an organisation.
     #[must_use]
     pub fn record(&self, organisation: &OrganisationName) -> Option<ShareRecord> {
+        self.known(organisation).map(|(record, _)| record)
+    }
+
+    /// The record of an organisation, and since when this version of it is known here.
+    #[must_use]
+    pub fn known(&self, organisation: &OrganisationName) -> Option<(ShareRecord, Time)> {
         let buckets = self.buckets.lock();
-        buckets
-            .get(&bucket_of(organisation))?
-            .records
-            .get(organisation)
-            .cloned()
+        buckets.get(&bucket_of(organisation))?.records.get(organisation).cloned()
     }
 
     /// The versions acted on in one bucket, by organisation.
@@ -89,11 +96,7 @@
     pub fn versions(&self, bucket: u32) -> BTreeMap<OrganisationName, u64> {
         let buckets = self.buckets.lock();
         let records = buckets.get(&bucket).map(|held| &held.records);
-        records
-            .into_iter()
-            .flatten()
-            .map(|(name, record)| (name.clone(), record.version))
-            .collect()
+        records.into_iter().flatten().map(|(name, (record, _))| (name.clone(), record.version)).collect()
     }
 
     /// All buckets, to be passed on.
@@ -113,10 +116,7 @@
     pub fn digest(&self) -> u64 {
         let buckets = self.buckets.lock();
         buckets.iter().fold(0, |hash, (bucket, held)| {
-            stable(
-                &held.version.to_le_bytes(),
-                hash ^ stable(&bucket.to_le_bytes(), 6),
-            )
+            stable(&held.version.to_le_bytes(), hash ^ stable(&bucket.to_le_bytes(), 6))
         })
     }
 
@@ -149,23 +149,12 @@
     let stored: StoredBucket = serde_json::from_str(text).map_err(|e| malformed(e.to_string()))?;
     let lives = |shares: BTreeMap<String, u64>| {
         let life = |text: &str| Life::parse(text).ok_or_else(|| malformed(format!("holder `{text}`")));
-        shares
-            .into_iter()
-            .map(|(text, share)| Ok((life(&text)?, share)))
-            .collect::<Result<_>>()
+        shares.into_iter().map(|(text, share)| Ok((life(&text)?, share))).collect::<Result<_>>()
     };
     let record = |r: StoredRecord| -> Result<ShareRecord> {
-        Ok(ShareRecord {
-            version: r.version,
-            present: lives(r.present)?,
-            wanted: lives(r.wanted)?,
-        })
+        Ok(ShareRecord { version: r.version, present: lives(r.present)?, wanted: lives(r.wanted)? })
     };
-    stored
-        .organisations
-        .into_iter()
-        .map(|(name, r)| Ok((name, record(r)?)))
-        .collect()
+    stored.organisations.into_iter().map(|(name, r)| Ok((name, record(r)?))).collect()
 }
 
 /// Writes the records of a bucket.
@@ -177,10 +166,7 @@
         present: texts(&r.present),
         wanted: texts(&r.wanted),
     };
-    let organisations = records
-        .iter()
-        .map(|(name, r)| (name.clone(), stored(r)))
-        .collect();
+    let organisations = records.iter().map(|(name, r)| (name.clone(), stored(r))).collect();
     serde_json::to_string(&StoredBucket { organisations }).unwrap_or_default()
 }
 
@@ -194,25 +180,14 @@
     for organisation in &in_force.snapshot.organisations {
         let record = node.limits.records.record(&organisation.name).unwrap_or_default();
         let allotment = |life: &Life| record.allotment_of(life, organisation.rate, organisation.burst);
-        let others = view
-            .entries
-            .iter()
-            .filter(|e| e.life != node.life && record.present.contains_key(&e.life));
+        let others =
+            view.entries.iter().filter(|e| e.life != node.life && record.present.contains_key(&e.life));
         let holder = |e: &crate::fleet::Entry| HolderView {
-            peer: PeerAddress {
-                id: e.life.instance.clone(),
-                address: e.peer_address,
-            },
+            peer: PeerAddress { id: e.life.instance.clone(), address: e.peer_address },
             local: e.region == node.settings.region,
             allotment: allotment(&e.life),
         };
-        node.limits.set(
-            organisation,
-            allotment(&node.life),
-            others.map(holder).collect(),
-            now,
-        );
+        node.limits.set(organisation, allotment(&node.life), others.map(holder).collect(), now);
     }
-    node.limits
-        .retain(|name| in_force.snapshot.organisation_named(name.as_str()).is_some());
+    node.limits.retain(|name| in_force.snapshot.organisation_named(name.as_str()).is_some());
 }
--- a/crates/burdock-node/src/node.rs
+++ b/crates/burdock-node/src/node.rs
@@ -91,10 +91,7 @@
     /// A node that has no configuration yet.
     #[must_use]
     pub fn new(parts: NodeParts) -> Self {
-        let life = Life {
-            instance: parts.settings.instance.clone(),
-            incarnation: parts.incarnation,
-        };
+        let life = Life { instance: parts.settings.instance.clone(), incarnation: parts.incarnation };
         let clock = Clock::start();
         let fleet = Fleet::new(&life, &parts.settings, clock.now());
         Self {
@@ -160,10 +157,7 @@
     pub fn observe_bytes(&self, bytes: u64) {
         const MEAN_WEIGHT: u64 = 16;
         let mean = self.bytes_per_request();
-        self.bytes_per_request.store(
-            (mean * (MEAN_WEIGHT - 1) + bytes) / MEAN_WEIGHT,
-            Ordering::Relaxed,
-        );
+        self.bytes_per_request.store((mean * (MEAN_WEIGHT - 1) + bytes) / MEAN_WEIGHT, Ordering::Relaxed);
     }
 
     /// Counts a request as at work until the returned guard is dropped.
@@ -171,9 +165,7 @@
     pub fn begin_request(self: &Arc<Self>, now: Time) -> AtWork {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.last_request.store(now.0, Ordering::Relaxed);
-        AtWork {
-            node: Arc::clone(self),
-        }
+        AtWork { node: Arc::clone(self) }
     }
 }
 
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -92,9 +92,7 @@
 
 impl Default for Counters {
     fn default() -> Self {
-        Self {
-            values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
-        }
+        Self { values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect() }
     }
 }
 
--- a/crates/burdock-node/src/observe/trace.rs
+++ b/crates/burdock-node/src/observe/trace.rs
@@ -23,30 +23,21 @@
         let wanted = sampled || parent.is_some_and(|p| p.sampled);
         let root = wanted.then(|| {
             let parent = parent.unwrap_or_else(SpanContext::random);
-            Span::root(
-                "request",
-                SpanContext::new(parent.trace_id, parent.span_id).sampled(true),
-            )
+            Span::root("request", SpanContext::new(parent.trace_id, parent.span_id).sampled(true))
         });
-        Self {
-            root,
-            incoming: traceparent.map(str::to_owned),
-        }
+        Self { root, incoming: traceparent.map(str::to_owned) }
     }
 
     /// A span for one hop. It ends when dropped.
     pub fn hop(&self, name: &'static str) -> Span {
-        self.root
-            .as_ref()
-            .map_or_else(Span::noop, |root| Span::enter_with_parent(name, root))
+        self.root.as_ref().map_or_else(Span::noop, |root| Span::enter_with_parent(name, root))
     }
 
     /// The `traceparent` for the next hop: a traced request's own, else the one that came in.
     #[must_use]
     pub fn outgoing(&self) -> Option<String> {
         let own = self.root.as_ref().and_then(SpanContext::from_span);
-        own.map(|cx| cx.encode_w3c_traceparent())
-            .or_else(|| self.incoming.clone())
+        own.map(|cx| cx.encode_w3c_traceparent()).or_else(|| self.incoming.clone())
     }
 }
 
--- a/crates/burdock-node/src/once/claims.rs
+++ b/crates/burdock-node/src/once/claims.rs
@@ -42,10 +42,7 @@
 /// [`ErrorKind::StoreDown`] when the store can't tell; nothing ran by this attempt.
 pub async fn claim(node: &Node, key: &OnceKey, candidate: &Life) -> Result<Life> {
     let store_key = key_of(key);
-    let value = Claim {
-        owner: candidate.to_string(),
-        at_ms: wall_clock_ms(),
-    };
+    let value = Claim { owner: candidate.to_string(), at_ms: wall_clock_ms() };
     let value = serde_json::to_string(&value).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
     for _ in 0..ATTEMPTS {
         node.counters.add(Counter::Claims);
@@ -57,22 +54,14 @@
             Err(e) => return Err(store_down(&e)),
         }
     }
-    Err(Error::new(
-        ErrorKind::StoreDown,
-        "the store does not answer, so the request was not run",
-    ))
+    Err(Error::new(ErrorKind::StoreDown, "the store does not answer, so the request was not run"))
 }
 
 async fn read(node: &Node, store_key: &str) -> Result<Life> {
     let found = node.store.read(store_key).await.map_err(|e| store_down(&e))?;
     let claim: Option<Claim> = found.and_then(|f| serde_json::from_str(&f.value).ok());
     let owner = claim.and_then(|c| Life::parse(&c.owner));
-    owner.ok_or_else(|| {
-        Error::new(
-            ErrorKind::StoreDown,
-            "the claim changed while it was read; try again",
-        )
-    })
+    owner.ok_or_else(|| Error::new(ErrorKind::StoreDown, "the claim changed while it was read; try again"))
 }
 
 /// Deletes old claims, again and again, on one instance of the fleet.
--- a/crates/burdock-node/src/once/hand_over.rs
+++ b/crates/burdock-node/src/once/hand_over.rs
@@ -26,23 +26,13 @@
     left.push(node.life.clone());
     let records = node.once.export(node.clock.now());
     for entry in successors(node).into_iter().take(ATTEMPTS) {
-        let peer = PeerAddress {
-            id: entry.life.instance.clone(),
-            address: entry.peer_address,
-        };
-        let taken = node
-            .peers
-            .hand_over(&peer, left.clone(), records.clone(), LIMIT)
-            .await;
+        let peer = PeerAddress { id: entry.life.instance.clone(), address: entry.peer_address };
+        let taken = node.peers.hand_over(&peer, left.clone(), records.clone(), LIMIT).await;
         if !matches!(taken, Ok(true)) {
             continue;
         }
-        let successions = left.iter().map(|l| Succession {
-            left: l.clone(),
-            successor: entry.life.clone(),
-        });
-        node.fleet
-            .note_successions(successions.collect(), node.clock.now());
+        let successions = left.iter().map(|l| Succession { left: l.clone(), successor: entry.life.clone() });
+        node.fleet.note_successions(successions.collect(), node.clock.now());
         log::info!("{} idempotency keys handed over to {}", records.len(), entry.life);
         return true;
     }
@@ -51,11 +41,7 @@
 
 fn successors(node: &Node) -> Vec<Entry> {
     let view = node.fleet.view();
-    let alive = view
-        .entries
-        .iter()
-        .filter(|e| e.standing == Standing::Alive && e.life != node.life)
-        .cloned();
+    let alive = view.entries.iter().filter(|e| e.standing == Standing::Alive && e.life != node.life).cloned();
     let mut ranked = ranked(10, alive, |e| e.life.instance.as_str());
     ranked.sort_by_key(|e| e.region != node.settings.region);
     ranked
--- a/crates/burdock-node/src/once/handle.rs
+++ b/crates/burdock-node/src/once/handle.rs
@@ -42,17 +42,12 @@
 /// # Errors
 /// A refusal. `not-run` speaks of this attempt; a resend with the same key is always safe.
 pub async fn handle(node: &Arc<Node>, outbound: Outbound, req: OnceRequest<'_>) -> Result<Arc<WholeAnswer>> {
-    let organisation = outbound
-        .organisation
-        .as_ref()
-        .map_or("", |(_, name)| name.as_str());
+    let organisation = outbound.organisation.as_ref().map_or("", |(_, name)| name.as_str());
     let key = OnceKey::new(organisation, req.key);
     let owner = match owner_source(req.key, req.hint) {
         OwnerSource::Named(life) => life,
         OwnerSource::Claimed(hint) => {
-            let candidate = hint
-                .filter(|life| is_alive(node, life))
-                .unwrap_or_else(|| node.life.clone());
+            let candidate = hint.filter(|life| is_alive(node, life)).unwrap_or_else(|| node.life.clone());
             claims::claim(node, &key, &candidate).await?
         }
     };
@@ -80,10 +75,7 @@
 ) -> Result<Arc<WholeAnswer>> {
     let fingerprint = request_hash(&outbound, &body);
     if *owner != node.life {
-        return node
-            .once
-            .replay(key, fingerprint)
-            .inspect(|_| node.counters.add(Counter::Replays));
+        return node.once.replay(key, fingerprint).inspect(|_| node.counters.add(Counter::Replays));
     }
     loop {
         let reservation = match OnceTable::begin(node, key, fingerprint)? {
@@ -103,9 +95,7 @@
             let result = run_once(&node, &outbound, body, &reservation).await;
             reservation.report(result)
         });
-        return work
-            .await
-            .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+        return work.await.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
     }
 }
 
@@ -137,11 +127,7 @@
 }
 
 async fn collect(node: &Node, outbound: &Outbound, running: Running) -> Result<WholeAnswer> {
-    let Running {
-        answered,
-        permit,
-        alone,
-    } = running;
+    let Running { answered, permit, alone } = running;
     let (parts, body) = answered.resp.into_parts();
     let deadline = node.clock.instant(outbound.deadline);
     let whole = tokio::time::timeout_at(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
@@ -152,8 +138,7 @@
         Err(e) => {
             let crashed = !backend.pool.accepts().await;
             if crashed {
-                node.quarantine
-                    .crashed(outbound.fingerprint, &backend.id, node.clock.now());
+                node.quarantine.crashed(outbound.fingerprint, &backend.id, node.clock.now());
             }
             let detail = format!("backend server `{}` cut its answer: {e}", backend.id);
             return Err(Error::new(ErrorKind::BadAnswer, detail));
@@ -165,16 +150,8 @@
         node.quarantine.cleared(outbound.fingerprint);
     }
     drop(permit);
-    let headers = parts
-        .headers
-        .iter()
-        .map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec()))
-        .collect();
-    Ok(WholeAnswer {
-        status: parts.status.as_u16(),
-        headers,
-        body: body.to_vec(),
-    })
+    let headers = parts.headers.iter().map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec())).collect();
+    Ok(WholeAnswer { status: parts.status.as_u16(), headers, body: body.to_vec() })
 }
 
 async fn relay(
@@ -191,10 +168,7 @@
     node.counters.add(Counter::Relays);
     let left = outbound.deadline.since(node.clock.now());
     let relayed = RelayedRequest {
-        organisation: outbound
-            .organisation
-            .as_ref()
-            .map_or_else(String::new, |(_, n)| n.as_str().to_owned()),
+        organisation: outbound.organisation.as_ref().map_or_else(String::new, |(_, n)| n.as_str().to_owned()),
         method: outbound.method.as_str().to_owned(),
         target: outbound.target.to_string(),
         host: header(outbound, &http::header::HOST),
@@ -210,10 +184,7 @@
         request_id: outbound.request_id.to_str().unwrap_or_default().to_owned(),
         owner: owner.clone(),
     };
-    let peer = PeerAddress {
-        id: to.instance.clone(),
-        address,
-    };
+    let peer = PeerAddress { id: to.instance.clone(), address };
     match node.peers.relay(&peer, relayed, left + RELAY_MARGIN).await {
         Ok(result) => result,
         Err(PeerError::NotSent(detail) | PeerError::Lost(detail)) => Err(owner_gone(owner).at(detail)),
@@ -222,21 +193,13 @@
 
 fn is_alive(node: &Node, life: &Life) -> bool {
     *life == node.life
-        || node
-            .fleet
-            .view()
-            .entries
-            .iter()
-            .any(|e| e.life == *life && e.standing != Standing::Suspect)
+        || node.fleet.view().entries.iter().any(|e| e.life == *life && e.standing != Standing::Suspect)
 }
 
 // An owner that can't be reached may have run an earlier attempt, so the outcome is unknown.
 fn owner_gone(owner: &Life) -> Error {
-    Error::new(
-        ErrorKind::OwnerGone,
-        format!("`{owner}` owns this idempotency key and can't be reached"),
-    )
-    .hint("this attempt did not run; an earlier one may have")
+    Error::new(ErrorKind::OwnerGone, format!("`{owner}` owns this idempotency key and can't be reached"))
+        .hint("this attempt did not run; an earlier one may have")
 }
 
 fn request_hash(outbound: &Outbound, body: &Bytes) -> u64 {
@@ -246,10 +209,5 @@
 }
 
 fn header(outbound: &Outbound, name: &http::HeaderName) -> String {
-    outbound
-        .headers
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default()
-        .to_owned()
+    outbound.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
--- a/crates/burdock-node/src/once/mod.rs
+++ b/crates/burdock-node/src/once/mod.rs
@@ -80,29 +80,12 @@
             Attempt::Reused => return Err(Error::from(ErrorKind::IdempotencyKeyReused)),
         }
         if table.keys.load(Ordering::Relaxed) >= MAX_KEYS {
-            return Err(Error::new(
-                ErrorKind::Overloaded,
-                "the table of idempotency keys is full",
-            ));
+            return Err(Error::new(ErrorKind::Overloaded, "the table of idempotency keys is full"));
         }
         table.keys.fetch_add(1, Ordering::Relaxed);
-        let record = Record {
-            fingerprint,
-            progress: Progress::Reserved,
-            began: node.clock.now(),
-        };
-        shard.insert(
-            key,
-            Held {
-                record,
-                done: Arc::default(),
-            },
-        );
-        Ok(Begun::Run(Reservation {
-            table: Arc::clone(node),
-            key,
-            reported: false,
-        }))
+        let record = Record { fingerprint, progress: Progress::Reserved, began: node.clock.now() };
+        shard.insert(key, Held { record, done: Arc::default() });
+        Ok(Begun::Run(Reservation { table: Arc::clone(node), key, reported: false }))
     }
 
     /// Looks at a key of an instance that left. Such keys are never run here.
@@ -151,16 +134,10 @@
     /// Takes in what lives that left knew. A key that is known here already stays as it is.
     pub fn import(&self, left: Vec<Life>, records: Vec<OnceRecord>, now: Time) {
         for record in records {
-            let progress = record
-                .answer
-                .map_or(Progress::Unknown, |a| self.keep_answer(Arc::new(a)));
+            let progress = record.answer.map_or(Progress::Unknown, |a| self.keep_answer(Arc::new(a)));
             let began = now - Duration::from_millis(u64::from(record.age_ms));
             let held = Held {
-                record: Record {
-                    fingerprint: record.fingerprint,
-                    progress,
-                    began,
-                },
+                record: Record { fingerprint: record.fingerprint, progress, began },
                 done: Arc::default(),
             };
             let key = OnceKey(record.key);
@@ -264,11 +241,8 @@
 }
 
 fn unknown_outcome() -> Error {
-    Error::new(
-        ErrorKind::OwnerGone,
-        "whether an earlier attempt ran is unknown; this attempt did not run",
-    )
-    .hint("find out at the service whether it took effect; a new idempotency key runs it anew")
+    Error::new(ErrorKind::OwnerGone, "whether an earlier attempt ran is unknown; this attempt did not run")
+        .hint("find out at the service whether it took effect; a new idempotency key runs it anew")
 }
 
 fn shard_of(key: &OnceKey) -> u64 {
--- a/crates/burdock-node/src/peers.rs
+++ b/crates/burdock-node/src/peers.rs
@@ -25,11 +25,7 @@
 /// The hello of an instance.
 #[must_use]
 pub fn hello(node: &Node) -> Hello {
-    Hello {
-        life: node.life.clone(),
-        region: node.settings.region.clone(),
-        zone: node.settings.zone.clone(),
-    }
+    Hello { life: node.life.clone(), region: node.settings.region.clone(), zone: node.settings.zone.clone() }
 }
 
 /// What answers each call of another instance.
@@ -38,9 +34,7 @@
     Handlers {
         hello: hello(node),
         exchange: on(node, async |node, theirs| Ok(exchange::answer(&node, &theirs))),
-        configuration: on(node, async |node, names: Vec<String>| {
-            Ok(node.config.configuration(&names))
-        }),
+        configuration: on(node, async |node, names: Vec<String>| Ok(node.config.configuration(&names))),
         head_changed: on(node, async |node, (revision, sender)| {
             install::reach_from(&node, revision, &sender).await;
             Ok(())
@@ -80,25 +74,13 @@
     let name = OrganisationName::new(organisation)?;
     // Out of contact, another instance may hold this share by now.
     let may = now < node.fleet.contact(now).serve_until
-        && node
-            .in_force
-            .load()
-            .snapshot
-            .organisation_named(organisation)
-            .is_some();
+        && node.in_force.load().snapshot.organisation_named(organisation).is_some();
     if !may {
-        return Ok(Loan {
-            refused: true,
-            ..Loan::default()
-        });
+        return Ok(Loan { refused: true, ..Loan::default() });
     }
     let (granted, left) = node.limits.lend(&name, wanted, now);
     node.counters.add_many(Counter::TokensLent, u64::from(granted));
-    Ok(Loan {
-        granted,
-        left,
-        refused: false,
-    })
+    Ok(Loan { granted, left, refused: false })
 }
 
 // Runs a request whose key was checked by the instance that relays it. The organisation must still exist
@@ -109,16 +91,10 @@
         return Err(Error::from(ErrorKind::Isolated));
     }
     if req.owner != node.life && !node.once.answers_for(&req.owner) {
-        return Err(Error::new(
-            ErrorKind::OwnerGone,
-            format!("`{}` is not here", req.owner),
-        ));
+        return Err(Error::new(ErrorKind::OwnerGone, format!("`{}` is not here", req.owner)));
     }
     if node.phase() >= Phase::Finishing {
-        return Err(Error::new(
-            ErrorKind::OwnerGone,
-            "the owner is shutting down; this attempt did not run",
-        ));
+        return Err(Error::new(ErrorKind::OwnerGone, "the owner is shutting down; this attempt did not run"));
     }
     let key = OnceKey::new(&req.organisation, &req.idempotency_key);
     let mut outbound = outbound(node, &req, now)?;
@@ -144,10 +120,7 @@
     let mut headers = HeaderMap::new();
     for (name, value) in &req.headers {
         let name = HeaderName::try_from(name.as_str()).map_err(|_invalid| malformed("header"))?;
-        headers.append(
-            name,
-            HeaderValue::from_bytes(value).map_err(|_invalid| malformed("header"))?,
-        );
+        headers.append(name, HeaderValue::from_bytes(value).map_err(|_invalid| malformed("header"))?);
     }
     let method = Method::from_bytes(req.method.as_bytes()).map_err(|_invalid| malformed("method"))?;
     Ok(Outbound {
--- a/crates/burdock-node/src/settings.rs
+++ b/crates/burdock-node/src/settings.rs
@@ -151,16 +151,9 @@
 
     fn check(&self) -> Result<()> {
         if self.operators.is_empty() {
-            return Err(invalid(
-                "operators: none found",
-                "name at least one operator with a token",
-            ));
+            return Err(invalid("operators: none found", "name at least one operator with a token"));
         }
-        if let Some((name, _)) = self
-            .operators
-            .iter()
-            .find(|(_, token)| token.len() < MIN_TOKEN_BYTES)
-        {
+        if let Some((name, _)) = self.operators.iter().find(|(_, token)| token.len() < MIN_TOKEN_BYTES) {
             let hint = format!("use a token of {MIN_TOKEN_BYTES} bytes or more");
             return Err(invalid(&format!("operators.{name}: token too short"), &hint));
         }
--- a/crates/burdock-node/src/shards.rs
+++ b/crates/burdock-node/src/shards.rs
@@ -13,9 +13,7 @@
 
 impl<T: Default> Default for Sharded<T> {
     fn default() -> Self {
-        Self {
-            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
-        }
+        Self { shards: (0..SHARDS).map(|_| Mutex::default()).collect() }
     }
 }
 
--- a/crates/burdock-node/src/shutdown.rs
+++ b/crates/burdock-node/src/shutdown.rs
@@ -26,10 +26,7 @@
     /// # Errors
     /// When the runtime can't listen for signals.
     pub fn listen() -> std::io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
+        Ok(Self { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
     }
 
     /// Waits for the next one.
--- a/crates/burdock-node/src/start.rs
+++ b/crates/burdock-node/src/start.rs
@@ -50,10 +50,8 @@
     /// # Errors
     /// [`ErrorKind::Internal`] when the system can't tell.
     pub fn addresses(&self) -> Result<Listen> {
-        let address = |l: &TcpListener| {
-            l.local_addr()
-                .map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
-        };
+        let address =
+            |l: &TcpListener| l.local_addr().map_err(|e| Error::new(ErrorKind::Internal, e.to_string()));
         Ok(Listen {
             callers: address(&self.callers)?,
             peers: address(&self.peers)?,
@@ -85,27 +83,14 @@
         .build();
     let incarnation = new_incarnation();
     let hello = Hello {
-        life: Life {
-            instance: settings.instance.clone(),
-            incarnation,
-        },
+        life: Life { instance: settings.instance.clone(), incarnation },
         region: settings.region.clone(),
         zone: settings.zone.clone(),
     };
     let peers = Peers::start(hello, settings.threads.peers).map_err(failed)?;
-    let node = Arc::new(Node::new(NodeParts {
-        settings,
-        incarnation,
-        store,
-        store_calls,
-        peers,
-    }));
+    let node = Arc::new(Node::new(NodeParts { settings, incarnation, store, store_calls, peers }));
     let (stop, stopping) = watch::channel(false);
-    let callers = tokio::spawn(entry::serve::serve(
-        Arc::clone(&node),
-        listeners.callers,
-        stopping,
-    ));
+    let callers = tokio::spawn(entry::serve::serve(Arc::clone(&node), listeners.callers, stopping));
     let statsd = metrics::client(&node).map_err(failed)?;
     let loops = vec![
         tokio::spawn(burdock_wire::server::serve(
@@ -124,12 +109,7 @@
         tokio::spawn(sweep_loop(Arc::clone(&node))),
         tokio::spawn(metrics::send_loop(Arc::clone(&node), statsd)),
     ];
-    Ok(RunningNode {
-        node,
-        stop,
-        callers,
-        loops,
-    })
+    Ok(RunningNode { node, stop, callers, loops })
 }
 
 impl RunningNode {
--- a/crates/burdock-node/tests/processes.rs
+++ b/crates/burdock-node/tests/processes.rs
@@ -20,10 +20,7 @@
     let key = cluster.key(ORGANISATION).to_owned();
     let headers = [("x-api-key", key.as_str())];
 
-    let steer = cluster
-        .get(0, "/.burdock/v1/steer?service=quotes", &headers)
-        .await
-        .unwrap();
+    let steer = cluster.get(0, "/.burdock/v1/steer?service=quotes", &headers).await.unwrap();
     expect_that!(steer.status, eq(200));
     expect_that!(steer.json()["entries"].as_array().unwrap().len(), eq(2));
 
@@ -35,15 +32,10 @@
     expect_that!(answer.headers.get("burdock-request-id").is_some(), eq(true));
 
     let path = format!("/v1/tree/organisations/{ORGANISATION}/settings");
-    let change = cluster
-        .admin(0, Method::PATCH, &path, json!({"allow": false}))
-        .await
-        .unwrap();
+    let change = cluster.admin(0, Method::PATCH, &path, json!({"allow": false})).await.unwrap();
     expect_that!(change.status, eq(200));
     for ix in 0..2 {
-        cluster
-            .wait_for(async || cluster.get(ix, "/quotes/1", &headers).await.unwrap().status == 403)
-            .await;
+        cluster.wait_for(async || cluster.get(ix, "/quotes/1", &headers).await.unwrap().status == 403).await;
     }
     let id = change.json()["change"].as_str().unwrap().to_owned();
     cluster
@@ -83,10 +75,7 @@
         }
     }
     assert_told_the_truth(&cluster, &answers).await;
-    let ran = answers
-        .values()
-        .filter(|told| told.last().is_some_and(|t| t == "ran"))
-        .count();
+    let ran = answers.values().filter(|told| told.last().is_some_and(|t| t == "ran")).count();
     expect_that!(ran, gt(40));
 }
 
@@ -95,17 +84,11 @@
 async fn a_frozen_owner_neither_doubles_a_command_nor_serves_a_withdrawn_key() {
     let cluster = Cluster::start(3, 3).await;
     let key = cluster.key(ORGANISATION).to_owned();
-    let steer = cluster
-        .get(0, "/.burdock/v1/steer?service=valves", &[("x-api-key", &key)])
-        .await
-        .unwrap()
-        .json();
+    let steer =
+        cluster.get(0, "/.burdock/v1/steer?service=valves", &[("x-api-key", &key)]).await.unwrap().json();
     let of_first = |e: &&serde_json::Value| e["address"] == json!(cluster.instances[0].callers);
     let entries = steer["entries"].as_array().unwrap();
-    let owner = entries.iter().find(of_first).unwrap()["incarnation"]
-        .as_str()
-        .unwrap()
-        .to_owned();
+    let owner = entries.iter().find(of_first).unwrap()["incarnation"].as_str().unwrap().to_owned();
     let once = format!("{owner}:irrigate");
     let headers = [("x-api-key", key.as_str()), ("idempotency-key", once.as_str())];
 
@@ -113,21 +96,13 @@
     let freeze = async {
         tokio::time::sleep(Duration::from_millis(150)).await;
         cluster.signal(0, Signal::SIGSTOP);
-        let resent = cluster
-            .post(1, "/valves/7?delay_ms=400", &headers, "open")
-            .await
-            .unwrap();
+        let resent = cluster.post(1, "/valves/7?delay_ms=400", &headers, "open").await.unwrap();
         expect_that!(resent.outcome(), eq("unknown"));
         let id = key.split('.').nth(1).unwrap();
         let path = format!("/v1/organisations/{ORGANISATION}/keys/{id}");
         cluster
             .wait_for(async || {
-                cluster
-                    .admin(1, Method::DELETE, &path, json!(null))
-                    .await
-                    .unwrap()
-                    .status
-                    == 200
+                cluster.admin(1, Method::DELETE, &path, json!(null)).await.unwrap().status == 200
             })
             .await;
         cluster
@@ -141,12 +116,7 @@
         expect_that!(after.outcome(), eq("not-run"));
     };
     let (_first, ()) = tokio::join!(first, freeze);
-    let runs = cluster
-        .ran()
-        .await
-        .into_iter()
-        .filter(|r| r.idempotency_key == once)
-        .count();
+    let runs = cluster.ran().await.into_iter().filter(|r| r.idempotency_key == once).count();
     expect_that!(runs, le(1));
 }
 
@@ -168,20 +138,13 @@
     let (slow, ()) = tokio::join!(slow, stop);
     expect_that!(slow.unwrap().status, eq(200));
     let mut process = cluster.instances[0].process.take().unwrap();
-    let code = tokio::task::spawn_blocking(move || process.wait_end())
-        .await
-        .unwrap();
+    let code = tokio::task::spawn_blocking(move || process.wait_end()).await.unwrap();
     expect_that!(code, some(eq(0)));
 
     let again = cluster.post(1, "/valves/7", &headers, "open").await.unwrap();
     expect_that!(again.status, eq(200));
     expect_that!(again.body, eq(&first.body));
-    let runs = cluster
-        .ran()
-        .await
-        .into_iter()
-        .filter(|r| r.idempotency_key == once)
-        .count();
+    let runs = cluster.ran().await.into_iter().filter(|r| r.idempotency_key == once).count();
     expect_that!(runs, eq(1));
 }
 
@@ -194,42 +157,22 @@
     cluster.store_fault(json!({"down_ms": 600_000})).await;
     tokio::time::sleep(Duration::from_millis(5000)).await;
 
-    expect_that!(
-        cluster.get(0, "/quotes/1", &headers[..1]).await.unwrap().status,
-        eq(200)
-    );
+    expect_that!(cluster.get(0, "/quotes/1", &headers[..1]).await.unwrap().status, eq(200));
     let claim = cluster.post(0, "/valves/7", &headers, "open").await.unwrap();
     expect_that!((claim.status, claim.outcome()), eq((503, "not-run")));
-    let change = cluster
-        .admin(0, Method::PATCH, "/v1/tree/settings", json!({"retries": 1}))
-        .await
-        .unwrap();
+    let change = cluster.admin(0, Method::PATCH, "/v1/tree/settings", json!({"retries": 1})).await.unwrap();
     expect_that!((change.status, change.outcome()), eq((503, "not-run")));
 
     cluster.kill(2);
     cluster.start_instance(2);
     cluster.wait_ready(2).await;
-    cluster
-        .wait_for(async || cluster.get(2, "/quotes/1", &headers[..1]).await.unwrap().status == 200)
-        .await;
+    cluster.wait_for(async || cluster.get(2, "/quotes/1", &headers[..1]).await.unwrap().status == 200).await;
 
     cluster.store_fault(json!({"down_ms": 0})).await;
     cluster
-        .wait_for(async || {
-            cluster
-                .post(0, "/valves/7", &headers, "open")
-                .await
-                .unwrap()
-                .status
-                == 200
-        })
+        .wait_for(async || cluster.post(0, "/valves/7", &headers, "open").await.unwrap().status == 200)
         .await;
-    let runs = cluster
-        .ran()
-        .await
-        .into_iter()
-        .filter(|r| r.idempotency_key == "in-an-outage")
-        .count();
+    let runs = cluster.ran().await.into_iter().filter(|r| r.idempotency_key == "in-an-outage").count();
     expect_that!(runs, eq(1));
 }
 
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -68,10 +68,7 @@
 
 impl Answer {
     pub fn outcome(&self) -> &str {
-        self.headers
-            .get("burdock-outcome")
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("ran")
+        self.headers.get("burdock-outcome").and_then(|v| v.to_str().ok()).unwrap_or("ran")
     }
 
     pub fn json(&self) -> Value {
@@ -94,18 +91,13 @@
     fn first_line(&mut self) -> Value {
         let mut line = String::new();
         let stdout = self.child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("a line is printed");
+        BufReader::new(stdout).read_line(&mut line).expect("a line is printed");
         serde_json::from_str(&line).expect("the line is JSON")
     }
 
     pub fn signal(&self, signal: Signal) {
-        kill(
-            Pid::from_raw(i32::try_from(self.child.id()).expect("an id fits")),
-            signal,
-        )
-        .expect("the process is there");
+        kill(Pid::from_raw(i32::try_from(self.child.id()).expect("an id fits")), signal)
+            .expect("the process is there");
     }
 
     pub fn wait_end(&mut self) -> Option<i32> {
@@ -131,9 +123,7 @@
     /// Starts a store, `backends` of each service and `instances`, and waits until all are ready.
     pub async fn start(instances: usize, backends: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let http = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(0)
-            .build_http();
+        let http = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
         let backends = start_backends(backends);
         let listed: Vec<SampleBackend> = backends.iter().map(|(sample, _)| sample.clone()).collect();
         let mut next = 0_u8;
@@ -151,19 +141,9 @@
             tree_file.to_str().expect("utf-8"),
         ]);
         let store = address(&store_process.first_line()["listen"]);
-        let instances = (0..instances)
-            .map(|ix| Instance::prepare(ix, store, folder.path()))
-            .collect();
+        let instances = (0..instances).map(|ix| Instance::prepare(ix, store, folder.path())).collect();
         let backends = backends.into_iter().map(|(_, backend)| backend).collect();
-        let mut cluster = Self {
-            store,
-            instances,
-            backends,
-            keys,
-            http,
-            store_process,
-            folder,
-        };
+        let mut cluster = Self { store, instances, backends, keys, http, store_process, folder };
         cluster.list_instances().await;
         for ix in 0..cluster.instances.len() {
             cluster.start_instance(ix);
@@ -195,11 +175,7 @@
     }
 
     pub fn signal(&self, ix: usize, signal: Signal) {
-        self.instances[ix]
-            .process
-            .as_ref()
-            .expect("it runs")
-            .signal(signal);
+        self.instances[ix].process.as_ref().expect("it runs").signal(signal);
     }
 
     pub fn kill(&mut self, ix: usize) {
@@ -216,9 +192,8 @@
 
     /// Waits until every live instance sees settled shares held by all of them.
     pub async fn wait_shares(&self) {
-        let alive: Vec<usize> = (0..self.instances.len())
-            .filter(|ix| self.instances[*ix].process.is_some())
-            .collect();
+        let alive: Vec<usize> =
+            (0..self.instances.len()).filter(|ix| self.instances[*ix].process.is_some()).collect();
         for ix in &alive {
             self.wait_for(async || {
                 let Some(status) = self.admin(*ix, Method::GET, "/v1/status", Value::Null).await else {
@@ -243,44 +218,21 @@
     }
 
     pub fn key(&self, organisation: &str) -> &str {
-        &self
-            .keys
-            .iter()
-            .find(|k| k.organisation == organisation)
-            .expect("the organisation is there")
-            .key
+        &self.keys.iter().find(|k| k.organisation == organisation).expect("the organisation is there").key
     }
 
     pub async fn get(&self, ix: usize, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
-        self.send(
-            self.instances[ix].callers,
-            Method::GET,
-            path,
-            headers,
-            String::new(),
-        )
-        .await
+        self.send(self.instances[ix].callers, Method::GET, path, headers, String::new()).await
     }
 
     pub async fn post(&self, ix: usize, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
-        self.send(
-            self.instances[ix].callers,
-            Method::POST,
-            path,
-            headers,
-            body.to_owned(),
-        )
-        .await
+        self.send(self.instances[ix].callers, Method::POST, path, headers, body.to_owned()).await
     }
 
     pub async fn admin(&self, ix: usize, method: Method, path: &str, body: Value) -> Option<Answer> {
         let bearer = format!("Bearer {TOKEN}");
-        let headers = [
-            ("authorization", bearer.as_str()),
-            ("content-type", "application/json"),
-        ];
-        self.send(self.instances[ix].admin, method, path, &headers, body.to_string())
-            .await
+        let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
+        self.send(self.instances[ix].admin, method, path, &headers, body.to_string()).await
     }
 
     pub async fn store_fault(&self, fault: Value) {
@@ -292,25 +244,17 @@
 
     pub async fn backend_fault(&self, ix: usize, fault: Value) {
         let headers = [("content-type", "application/json")];
-        self.send(
-            self.backends[ix].control,
-            Method::POST,
-            "/fault",
-            &headers,
-            fault.to_string(),
-        )
-        .await
-        .expect("the backend server takes faults");
+        self.send(self.backends[ix].control, Method::POST, "/fault", &headers, fault.to_string())
+            .await
+            .expect("the backend server takes faults");
     }
 
     /// Everything that ran on any backend server.
     pub async fn ran(&self) -> Vec<Ran> {
         let mut all = Vec::new();
         for backend in &self.backends {
-            let answer = self
-                .send(backend.control, Method::GET, "/log", &[], String::new())
-                .await
-                .expect("a log");
+            let answer =
+                self.send(backend.control, Method::GET, "/log", &[], String::new()).await.expect("a log");
             all.extend(serde_json::from_slice::<Vec<Ran>>(&answer.body).expect("the log is JSON"));
         }
         all
@@ -325,9 +269,7 @@
         headers: &[(&str, &str)],
         body: String,
     ) -> Option<Answer> {
-        let mut req = Request::builder()
-            .method(method)
-            .uri(format!("http://{to}{path}"));
+        let mut req = Request::builder().method(method).uri(format!("http://{to}{path}"));
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
@@ -336,11 +278,7 @@
             let resp = self.http.request(req).await.ok()?;
             let (parts, body) = resp.into_parts();
             let body = body.collect().await.ok()?.to_bytes();
-            Some(Answer {
-                status: parts.status.as_u16(),
-                headers: parts.headers,
-                body,
-            })
+            Some(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
         };
         tokio::time::timeout(PATIENCE, exchange).await.ok().flatten()
     }
@@ -361,15 +299,7 @@
             json!({"id": id, "address": callers, "peer_address": peers, "region": region, "zone": zone});
         let file = folder.join(format!("{id}.jsonc"));
         std::fs::write(&file, settings.to_string()).expect("settings are written");
-        Self {
-            id,
-            callers,
-            peers,
-            admin,
-            process: None,
-            settings: file,
-            listed,
-        }
+        Self { id, callers, peers, admin, process: None, settings: file, listed }
     }
 }
 
@@ -378,40 +308,15 @@
     for service in sample::SERVICES {
         for ix in 0..count {
             let id = format!("{service}-{ix}");
-            let args = [
-                "standin-backend",
-                "--name",
-                &id,
-                "--listen",
-                "127.0.0.1:0",
-                "--control",
-                "127.0.0.1:0",
-            ];
+            let args =
+                ["standin-backend", "--name", &id, "--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"];
             let mut process = Process::start(&args);
             let line = process.first_line();
             let (region, zone) = place(ix);
             let address = address(&line["listen"]);
-            let sample = SampleBackend {
-                id: id.clone(),
-                service,
-                region,
-                zone,
-                address,
-            };
-            let control = line["control"]
-                .as_str()
-                .expect("an address")
-                .parse()
-                .expect("an address");
-            started.push((
-                sample,
-                Backend {
-                    id,
-                    address,
-                    control,
-                    process,
-                },
-            ));
+            let sample = SampleBackend { id: id.clone(), service, region, zone, address };
+            let control = line["control"].as_str().expect("an address").parse().expect("an address");
+            started.push((sample, Backend { id, address, control, process }));
         }
     }
     started
@@ -423,7 +328,5 @@
 
 // The port is free when asked for; the process binds it a moment later.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .expect("a free port")
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
 }
--- a/crates/burdock-platform/src/budget.rs
+++ b/crates/burdock-platform/src/budget.rs
@@ -33,15 +33,8 @@
     /// ```
     #[must_use]
     pub fn new(per_second: u32) -> Self {
-        let window = Window {
-            began: Instant::now(),
-            calls: 0,
-            total: 0,
-        };
-        Self {
-            per_second,
-            window: Mutex::new(window),
-        }
+        let window = Window { began: Instant::now(), calls: 0, total: 0 };
+        Self { per_second, window: Mutex::new(window) }
     }
 
     /// Takes one call if there is one.
--- a/crates/burdock-platform/src/config.rs
+++ b/crates/burdock-platform/src/config.rs
@@ -39,10 +39,7 @@
         return Ok(StoredHead::default());
     };
     let head = serde_json::from_str(&found.value).map_err(|e| corrupt(HEAD_KEY, &e.to_string()))?;
-    Ok(StoredHead {
-        head,
-        version: found.version,
-    })
+    Ok(StoredHead { head, version: found.version })
 }
 
 /// Reads one blob and checks that it is what its name says.
@@ -75,10 +72,7 @@
 /// [`ErrorKind::TooLarge`] over [`MAX_BLOB_BYTES`]; otherwise when the store does not answer.
 pub async fn write_blob(store: &Store, text: &str) -> Result<String> {
     if text.len() > MAX_BLOB_BYTES {
-        let detail = format!(
-            "a blob of {} bytes, over the store's {MAX_BLOB_BYTES}",
-            text.len()
-        );
+        let detail = format!("a blob of {} bytes, over the store's {MAX_BLOB_BYTES}", text.len());
         return Err(Error::new(ErrorKind::TooLarge, detail).hint("use smaller chunks"));
     }
     let hash = sha256_hex(text.as_bytes());
@@ -140,12 +134,7 @@
 
 fn chunks_of(tree: &Value) -> Vec<String> {
     let listed = tree.get("blocks").and_then(Value::as_array);
-    listed
-        .into_iter()
-        .flatten()
-        .filter_map(Value::as_str)
-        .map(str::to_owned)
-        .collect()
+    listed.into_iter().flatten().filter_map(Value::as_str).map(str::to_owned).collect()
 }
 
 async fn write_new_blobs(
@@ -182,22 +171,14 @@
 }
 
 async fn settle_conflict(store: &Store, change: Option<&burdock_model::ids::ChangeId>) -> Result<u64> {
-    let now = read_head(store).await.map_err(|e| Error {
-        kind: ErrorKind::ChangeUnknown,
-        ..e
-    })?;
+    let now = read_head(store).await.map_err(|e| Error { kind: ErrorKind::ChangeUnknown, ..e })?;
     if change.is_some_and(|id| now.head.change(id).is_some()) {
         return Ok(now.version);
     }
     let other = now.head.recent.last();
-    let by = other.map_or_else(String::new, |c| {
-        format!(": {} changed `{}` (change {})", c.by, c.path, c.id)
-    });
-    Err(Error::new(
-        ErrorKind::Conflict,
-        format!("revision {} came first{by}", now.head.revision),
-    )
-    .hint("read the tree again and repeat the change"))
+    let by = other.map_or_else(String::new, |c| format!(": {} changed `{}` (change {})", c.by, c.path, c.id));
+    Err(Error::new(ErrorKind::Conflict, format!("revision {} came first{by}", now.head.revision))
+        .hint("read the tree again and repeat the change"))
 }
 
 fn corrupt(key: &str, detail: &str) -> Error {
--- a/crates/burdock-platform/src/http.rs
+++ b/crates/burdock-platform/src/http.rs
@@ -51,11 +51,7 @@
     /// ```
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            time_limit: Duration::from_millis(1000),
-            calls_per_second: 60,
-        }
+        Self { address, time_limit: Duration::from_millis(1000), calls_per_second: 60 }
     }
 
     /// The longest that one call may take.
@@ -79,14 +75,8 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(self.time_limit));
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
-        let cx = Arc::new(Context {
-            client,
-            budget: Arc::clone(&budget),
-            settings: self,
-        });
+        let client = Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+        let cx = Arc::new(Context { client, budget: Arc::clone(&budget), settings: self });
         (closures(&cx), budget)
     }
 }
@@ -114,9 +104,7 @@
         }),
         grant: call(cx, |cx, ttl| async move { cx.grant(ttl).await }.boxed()),
         renew: call(cx, |cx, lease: u64| async move { cx.renew(lease).await }.boxed()),
-        watch: call(cx, |cx, watch: Watch| {
-            async move { cx.watch(&watch).await }.boxed()
-        }),
+        watch: call(cx, |cx, watch: Watch| async move { cx.watch(&watch).await }.boxed()),
         instances: call(cx, |cx, ()| async move { cx.read("/v1/instances").await }.boxed()),
     }
 }
@@ -140,19 +128,9 @@
 
     // A write is sent once. Whoever asked for it knows how to settle a lost answer.
     async fn put(&self, put: Put) -> StoreResult<u64> {
-        let body = PutBody {
-            value: put.value,
-            expect: put.expect,
-            lease: put.lease,
-        };
-        let answer = self
-            .send(
-                Method::PUT,
-                &format!("/v1/kv/{}", put.key),
-                &body,
-                self.settings.time_limit,
-            )
-            .await?;
+        let body = PutBody { value: put.value, expect: put.expect, lease: put.lease };
+        let answer =
+            self.send(Method::PUT, &format!("/v1/kv/{}", put.key), &body, self.settings.time_limit).await?;
         let version = parse_any::<PutAnswer>(&answer)?.version;
         match answer.status {
             StatusCode::CONFLICT => Err(StoreError::Conflict { version }),
@@ -162,35 +140,25 @@
 
     async fn delete(&self, key: &str, version: u64) -> StoreResult<()> {
         let path = format!("/v1/kv/{key}?expect={version}");
-        let answer = self
-            .send(Method::DELETE, &path, &(), self.settings.time_limit)
-            .await?;
+        let answer = self.send(Method::DELETE, &path, &(), self.settings.time_limit).await?;
         match answer.status {
-            StatusCode::CONFLICT => Err(StoreError::Conflict {
-                version: parse_any::<PutAnswer>(&answer)?.version,
-            }),
+            StatusCode::CONFLICT => {
+                Err(StoreError::Conflict { version: parse_any::<PutAnswer>(&answer)?.version })
+            }
             _ => Ok(()),
         }
     }
 
     async fn grant(&self, ttl: Duration) -> StoreResult<u64> {
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let answer = self
-            .send(
-                Method::POST,
-                "/v1/leases",
-                &LeaseBody { ttl_ms },
-                self.settings.time_limit,
-            )
-            .await?;
+        let answer =
+            self.send(Method::POST, "/v1/leases", &LeaseBody { ttl_ms }, self.settings.time_limit).await?;
         Ok(parse::<LeaseAnswer>(&answer)?.lease)
     }
 
     async fn renew(&self, lease: u64) -> StoreResult<()> {
         let path = format!("/v1/leases/{lease}/renew");
-        let answer = self
-            .send(Method::POST, &path, &(), self.settings.time_limit)
-            .await?;
+        let answer = self.send(Method::POST, &path, &(), self.settings.time_limit).await?;
         match answer.status {
             StatusCode::NOT_FOUND => Err(StoreError::Conflict { version: 0 }),
             _ => Ok(()),
@@ -199,10 +167,7 @@
 
     async fn watch(&self, watch: &Watch) -> StoreResult<crate::protocol::WatchAnswer> {
         let wait_ms = watch.wait.as_millis();
-        let path = format!(
-            "/v1/watch?prefix={}&since={}&wait_ms={wait_ms}",
-            watch.prefix, watch.since
-        );
+        let path = format!("/v1/watch?prefix={}&since={}&wait_ms={wait_ms}", watch.prefix, watch.since);
         let limit = self.settings.time_limit + watch.wait;
         parse(&self.send(Method::GET, &path, &(), limit).await?)
     }
@@ -223,9 +188,7 @@
             tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
             pause *= 2;
         }
-        Err(StoreError::Unreachable {
-            detail: format!("no answer after {READ_ATTEMPTS} attempts"),
-        })
+        Err(StoreError::Unreachable { detail: format!("no answer after {READ_ATTEMPTS} attempts") })
     }
 
     async fn send(
@@ -243,16 +206,10 @@
             let resp = self.client.request(req).await.map_err(|e| sending_failed(&e))?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = body
-                .map_err(|e| StoreError::AnswerLost {
-                    detail: e.to_string(),
-                })?
-                .to_bytes();
+            let body = body.map_err(|e| StoreError::AnswerLost { detail: e.to_string() })?.to_bytes();
             Ok(Answer { status, body })
         };
-        let lost = |_elapsed| StoreError::AnswerLost {
-            detail: format!("no answer within {limit:?}"),
-        };
+        let lost = |_elapsed| StoreError::AnswerLost { detail: format!("no answer within {limit:?}") };
         tokio::time::timeout(limit, exchange).await.map_err(lost)?
     }
 
@@ -275,11 +232,7 @@
 
 fn sending_failed(e: &hyper_util::client::legacy::Error) -> StoreError {
     let detail = e.to_string();
-    if e.is_connect() {
-        StoreError::Unreachable { detail }
-    } else {
-        StoreError::AnswerLost { detail }
-    }
+    if e.is_connect() { StoreError::Unreachable { detail } } else { StoreError::AnswerLost { detail } }
 }
 
 fn parse<T: DeserializeOwned>(answer: &Answer) -> StoreResult<T> {
@@ -293,13 +246,9 @@
     if answer.status.is_server_error() {
         return Err(refused(answer.status));
     }
-    serde_json::from_slice(&answer.body).map_err(|e| StoreError::AnswerLost {
-        detail: e.to_string(),
-    })
+    serde_json::from_slice(&answer.body).map_err(|e| StoreError::AnswerLost { detail: e.to_string() })
 }
 
 fn refused(status: StatusCode) -> StoreError {
-    StoreError::Unreachable {
-        detail: format!("status {status}"),
-    }
+    StoreError::Unreachable { detail: format!("status {status}") }
 }
--- a/crates/burdock-platform/src/store.rs
+++ b/crates/burdock-platform/src/store.rs
@@ -119,12 +119,7 @@
     /// # Errors
     /// [`StoreError::Conflict`] when it has another; otherwise when the store does not answer.
     pub async fn write_if(&self, key: &str, value: &str, expect: u64) -> StoreResult<u64> {
-        let put = Put {
-            key: key.to_owned(),
-            value: value.to_owned(),
-            expect: Some(expect),
-            lease: None,
-        };
+        let put = Put { key: key.to_owned(), value: value.to_owned(), expect: Some(expect), lease: None };
         (self.put)(put).await
     }
 
@@ -133,12 +128,7 @@
     /// # Errors
     /// When the store does not answer.
     pub async fn write(&self, key: &str, value: &str) -> StoreResult<u64> {
-        let put = Put {
-            key: key.to_owned(),
-            value: value.to_owned(),
-            expect: None,
-            lease: None,
-        };
+        let put = Put { key: key.to_owned(), value: value.to_owned(), expect: None, lease: None };
         (self.put)(put).await
     }
 }
