--- a/crates/burdock-standin/src/backend.rs
+++ b/crates/burdock-standin/src/backend.rs
@@ -109,16 +109,8 @@
     #[must_use]
     pub fn new(name: &str, slots: u32, keep_log: bool) -> Self {
         let (up, _) = watch::channel(true);
-        let inner = Inner {
-            name: name.to_owned(),
-            slots,
-            keep_log,
-            state: Mutex::default(),
-            up,
-        };
-        Self {
-            inner: Arc::new(inner),
-        }
+        let inner = Inner { name: name.to_owned(), slots, keep_log, state: Mutex::default(), up };
+        Self { inner: Arc::new(inner) }
     }
 
     /// Serves requests and control. Port 0 takes any free port.
@@ -230,11 +222,7 @@
             return Ok(shed());
         };
         let entry = self.note_start(&req);
-        if fault
-            .crash_on
-            .as_ref()
-            .is_some_and(|text| !text.is_empty() && req.uri().path().contains(text))
-        {
+        if fault.crash_on.as_ref().is_some_and(|text| !text.is_empty() && req.uri().path().contains(text)) {
             self.stop();
             return Err(std::io::Error::other("crashed"));
         }
@@ -260,11 +248,7 @@
             in_flight: u32::try_from(told).unwrap_or(u32::MAX),
             slots: self.inner.slots,
         };
-        let status = if state.fault.unhealthy == Some(true) {
-            500
-        } else {
-            200
-        };
+        let status = if state.fault.unhealthy == Some(true) { 500 } else { 200 };
         json_response(status, &report)
     }
 
@@ -276,22 +260,15 @@
             return None;
         }
         state.in_flight += 1;
-        Some(Slot {
-            inner: Arc::clone(&self.inner),
-        })
+        Some(Slot { inner: Arc::clone(&self.inner) })
     }
 
     fn note_start(&self, req: &Request<Incoming>) -> Option<usize> {
         if !self.inner.keep_log {
             return None;
         }
-        let header = |name: &str| {
-            req.headers()
-                .get(name)
-                .and_then(|v| v.to_str().ok())
-                .unwrap_or_default()
-                .to_owned()
-        };
+        let header =
+            |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
         let ran = Ran {
             id: header("burdock-request-id"),
             path: req.uri().path().to_owned(),
@@ -325,11 +302,8 @@
         if let Some(bytes) = options.get("bytes").and_then(|v| v.parse().ok()) {
             return Ok(long_answer(bytes));
         }
-        let headers: BTreeMap<&str, &str> = parts
-            .headers
-            .iter()
-            .map(|(n, v)| (n.as_str(), v.to_str().unwrap_or("?")))
-            .collect();
+        let headers: BTreeMap<&str, &str> =
+            parts.headers.iter().map(|(n, v)| (n.as_str(), v.to_str().unwrap_or("?"))).collect();
         let echo = serde_json::json!({
             "backend": self.inner.name,
             "method": parts.method.as_str(),
@@ -382,28 +356,18 @@
 }
 
 fn shed() -> Response<Body> {
-    let body = Full::new(Bytes::from_static(b"{\"shed\":true}"))
-        .map_err(|never| match never {})
-        .boxed();
+    let body = Full::new(Bytes::from_static(b"{\"shed\":true}")).map_err(|never| match never {}).boxed();
     let mut resp = Response::new(body);
     *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    resp.headers_mut()
-        .insert(SHED_HEADER, http::HeaderValue::from_static("1"));
+    resp.headers_mut().insert(SHED_HEADER, http::HeaderValue::from_static("1"));
     resp
 }
 
 fn json_response(status: u16, value: &impl Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
-    let mut resp = Response::new(
-        Full::new(Bytes::from(bytes))
-            .map_err(|never| match never {})
-            .boxed(),
-    );
+    let mut resp = Response::new(Full::new(Bytes::from(bytes)).map_err(|never| match never {}).boxed());
     *resp.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
-    resp.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("application/json"),
-    );
+    resp.headers_mut().insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
     resp
 }
 
@@ -419,8 +383,7 @@
         chunk
     });
     let mut resp = Response::new(BodyExt::boxed(StreamBody::new(paced)));
-    resp.headers_mut()
-        .insert(http::header::CONTENT_LENGTH, http::HeaderValue::from_static("20"));
+    resp.headers_mut().insert(http::header::CONTENT_LENGTH, http::HeaderValue::from_static("20"));
     resp
 }
 
@@ -432,8 +395,7 @@
     let chunks = std::iter::repeat_n(chunk, whole).chain(std::iter::once(rest));
     let stream = futures::stream::iter(chunks.map(|c| Ok(Frame::data(c))));
     let mut resp = Response::new(BodyExt::boxed(StreamBody::new(stream)));
-    resp.headers_mut()
-        .insert(http::header::CONTENT_LENGTH, bytes.into());
+    resp.headers_mut().insert(http::header::CONTENT_LENGTH, bytes.into());
     resp
 }
 
--- a/crates/burdock-standin/src/sample.rs
+++ b/crates/burdock-standin/src/sample.rs
@@ -69,17 +69,12 @@
     for (name, rate) in ORGANISATIONS {
         let secret = random();
         if let Ok(id) = KeyId::new(&format!("{name}-1")) {
-            keys.push(SampleKey {
-                organisation: name,
-                key: issue(&id, &secret),
-            });
+            keys.push(SampleKey { organisation: name, key: issue(&id, &secret) });
         }
         organisations.insert(name.to_owned(), organisation(name, rate, &secret));
     }
-    let regions: serde_json::Map<String, Value> = REGIONS
-        .iter()
-        .map(|(name, _)| ((*name).to_owned(), region(name)))
-        .collect();
+    let regions: serde_json::Map<String, Value> =
+        REGIONS.iter().map(|(name, _)| ((*name).to_owned(), region(name))).collect();
     let tree = json!({
         "settings": {"rate": "100/s", "burst": 100, "timeout": "10s", "body_limit": "4MiB", "retries": 2},
         "regions": regions,
@@ -120,10 +115,7 @@
     let of_service = backends.iter().filter(|b| b.service == service);
     let nodes: serde_json::Map<String, Value> = of_service
         .map(|b| {
-            (
-                b.id.clone(),
-                json!({"address": b.address, "region": b.region, "zone": b.zone, "slots": SLOTS}),
-            )
+            (b.id.clone(), json!({"address": b.address, "region": b.region, "zone": b.zone, "slots": SLOTS}))
         })
         .collect();
     Value::Object(nodes)
--- a/crates/burdock-standin/src/store.rs
+++ b/crates/burdock-standin/src/store.rs
@@ -161,9 +161,7 @@
             .layer(from_fn_with_state(self.clone(), apply_faults));
         // The list of instances is a service of its own, which the store's faults leave alone.
         let list = Router::new().route("/v1/instances", get(instances).put(put_instances));
-        let control = Router::new()
-            .route("/fault", post(fault))
-            .route("/calls", get(calls));
+        let control = Router::new().route("/fault", post(fault)).route("/calls", get(calls));
         platform.merge(list).merge(control).with_state(self.clone())
     }
 }
@@ -183,14 +181,7 @@
         }
         self.index += 1;
         let version = self.index;
-        self.keys.insert(
-            key.to_owned(),
-            Entry {
-                value: body.value,
-                version,
-                lease: body.lease,
-            },
-        );
+        self.keys.insert(key.to_owned(), Entry { value: body.value, version, lease: body.lease });
         self.record(key);
         Ok(version)
     }
@@ -209,12 +200,7 @@
 
     fn expire_leases(&mut self) {
         let now = Instant::now();
-        let over: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, end)| **end <= now)
-            .map(|(id, _)| *id)
-            .collect();
+        let over: Vec<u64> = self.leases.iter().filter(|(_, end)| **end <= now).map(|(id, _)| *id).collect();
         self.end_leases(&over);
     }
 
@@ -224,12 +210,7 @@
         }
         self.leases.retain(|id, _| !over.contains(id));
         let held = |e: &Entry| e.lease.is_some_and(|l| over.contains(&l));
-        let keys: Vec<String> = self
-            .keys
-            .iter()
-            .filter(|(_, e)| held(e))
-            .map(|(k, _)| k.clone())
-            .collect();
+        let keys: Vec<String> = self.keys.iter().filter(|(_, e)| held(e)).map(|(k, _)| k.clone()).collect();
         for key in keys {
             self.keys.remove(&key);
             self.index += 1;
@@ -241,11 +222,7 @@
         let oldest = self.history.first().map_or(self.index, |(index, _)| *index);
         let complete = since + 1 >= oldest;
         let mut keys: Vec<&String> = if complete {
-            self.history
-                .iter()
-                .filter(|(index, _)| *index > since)
-                .map(|(_, key)| key)
-                .collect()
+            self.history.iter().filter(|(index, _)| *index > since).map(|(_, key)| key).collect()
         } else {
             self.keys.keys().collect()
         };
@@ -253,12 +230,7 @@
         keys.dedup();
         let version = |key: &str| self.keys.get(key).map_or(0, |e| e.version);
         let matching = keys.into_iter().filter(|key| key.starts_with(prefix));
-        matching
-            .map(|key| KeyVersion {
-                key: key.clone(),
-                version: version(key),
-            })
-            .collect()
+        matching.map(|key| KeyVersion { key: key.clone(), version: version(key) }).collect()
     }
 }
 
@@ -273,10 +245,7 @@
             state.calls.reads += 1;
         }
         state.expire_leases();
-        (
-            state.down_until.is_some_and(|until| Instant::now() < until),
-            state.slow,
-        )
+        (state.down_until.is_some_and(|until| Instant::now() < until), state.slow)
     };
     if down {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
@@ -302,11 +271,7 @@
 async fn read(State(store): State<StoreStandin>, Path(key): Path<String>) -> Response {
     let state = store.inner.state.lock();
     match state.keys.get(&key) {
-        Some(entry) => Json(Versioned {
-            value: entry.value.clone(),
-            version: entry.version,
-        })
-        .into_response(),
+        Some(entry) => Json(Versioned { value: entry.value.clone(), version: entry.version }).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
@@ -343,18 +308,8 @@
 
 async fn list(State(store): State<StoreStandin>, Query(query): Query<Prefix>) -> Json<Vec<KeyVersion>> {
     let state = store.inner.state.lock();
-    let matching = state
-        .keys
-        .iter()
-        .filter(|(key, _)| key.starts_with(&query.prefix));
-    Json(
-        matching
-            .map(|(key, e)| KeyVersion {
-                key: key.clone(),
-                version: e.version,
-            })
-            .collect(),
-    )
+    let matching = state.keys.iter().filter(|(key, _)| key.starts_with(&query.prefix));
+    Json(matching.map(|(key, e)| KeyVersion { key: key.clone(), version: e.version }).collect())
 }
 
 async fn watch(State(store): State<StoreStandin>, Query(query): Query<WatchQuery>) -> Json<WatchAnswer> {
@@ -365,10 +320,7 @@
         changed.as_mut().enable();
         let answer = {
             let state = store.inner.state.lock();
-            WatchAnswer {
-                index: state.index,
-                changes: state.changes(&query.prefix, query.since),
-            }
+            WatchAnswer { index: state.index, changes: state.changes(&query.prefix, query.since) }
         };
         if !answer.changes.is_empty() || tokio::time::Instant::now() >= end {
             return Json(answer);
@@ -383,9 +335,7 @@
     let mut state = store.inner.state.lock();
     state.next_lease += 1;
     let lease = state.next_lease;
-    state
-        .leases
-        .insert(lease, Instant::now() + Duration::from_millis(body.ttl_ms));
+    state.leases.insert(lease, Instant::now() + Duration::from_millis(body.ttl_ms));
     Json(LeaseAnswer { lease })
 }
 
--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -56,12 +56,7 @@
     /// When threads can't be started.
     pub fn start(hello: Hello, threads: usize) -> std::io::Result<Self> {
         let threads = SessionThreads::start(threads)?;
-        Ok(Self {
-            threads,
-            hello: Arc::new(hello),
-            rooms: Arc::default(),
-            bytes: Arc::default(),
-        })
+        Ok(Self { threads, hello: Arc::new(hello), rooms: Arc::default(), bytes: Arc::default() })
     }
 
     /// Bytes of messages written so far, without framing.
@@ -146,11 +141,7 @@
     pub async fn shares(&self, to: &PeerAddress) -> Result<Vec<ShareBucket>, PeerError> {
         self.call(to, CALL_LIMIT, move |client| async move {
             let resp = client.shares_request().send().promise.await?;
-            resp.get()?
-                .get_buckets()?
-                .iter()
-                .map(convert::read_share_bucket)
-                .collect()
+            resp.get()?.get_buckets()?.iter().map(convert::read_share_bucket).collect()
         })
         .await
     }
@@ -258,25 +249,15 @@
             };
             work.boxed_local()
         };
-        if !self
-            .threads
-            .submit(stable(to.id.as_str().as_bytes(), 0), Box::new(job))
-        {
-            return Err(PeerError::NotSent(
-                "the session thread's queue is full".to_owned(),
-            ));
+        if !self.threads.submit(stable(to.id.as_str().as_bytes(), 0), Box::new(job)) {
+            return Err(PeerError::NotSent("the session thread's queue is full".to_owned()));
         }
-        rx.await
-            .unwrap_or_else(|_closed| Err(PeerError::Lost("the session thread ended".to_owned())))
+        rx.await.unwrap_or_else(|_closed| Err(PeerError::Lost("the session thread ended".to_owned())))
     }
 
     fn room(&self, address: SocketAddr) -> Arc<Semaphore> {
         let mut rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(
-            rooms
-                .entry(address)
-                .or_insert_with(|| Arc::new(Semaphore::new(MAX_CALLS_PER_PEER))),
-        )
+        Arc::clone(rooms.entry(address).or_insert_with(|| Arc::new(Semaphore::new(MAX_CALLS_PER_PEER))))
     }
 }
 
@@ -303,10 +284,7 @@
             forget_if_broken(state, to.address, &e);
             Err(PeerError::Lost(e.to_string()))
         }
-        Err(_elapsed) => Err(PeerError::Lost(format!(
-            "`{}` did not answer within {limit:?}",
-            to.id
-        ))),
+        Err(_elapsed) => Err(PeerError::Lost(format!("`{}` did not answer within {limit:?}", to.id))),
     }
 }
 
@@ -317,9 +295,7 @@
 ) -> Result<peer::Client, String> {
     let known = state.sessions.borrow().0.get(&to.address).cloned();
     let opening = known.unwrap_or_else(|| {
-        let opening = open(Rc::clone(state), Arc::clone(hello), to.clone())
-            .boxed_local()
-            .shared();
+        let opening = open(Rc::clone(state), Arc::clone(hello), to.clone()).boxed_local().shared();
         state.sessions.borrow_mut().0.insert(to.address, opening.clone());
         opening
     });
@@ -332,17 +308,11 @@
 
 async fn open(state: Rc<LocalState>, hello: Arc<Hello>, to: PeerAddress) -> Result<peer::Client, String> {
     let connect = async {
-        let stream = TcpStream::connect(to.address)
-            .await
-            .map_err(|e| format!("{}: {e}", to.address))?;
+        let stream = TcpStream::connect(to.address).await.map_err(|e| format!("{}: {e}", to.address))?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let (read, write) = stream.into_split();
-        let network = VatNetwork::new(
-            read.compat(),
-            write.compat_write(),
-            Side::Client,
-            convert::reader_options(),
-        );
+        let network =
+            VatNetwork::new(read.compat(), write.compat_write(), Side::Client, convert::reader_options());
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = system.bootstrap(Side::Server);
         let address = to.address;
@@ -354,16 +324,10 @@
         let mut req = client.hello_request();
         convert::write_hello(&hello, req.get().init_hello());
         let resp = req.send().promise.await.map_err(|e| e.to_string())?;
-        let answer = resp
-            .get()
-            .and_then(|r| r.get_hello())
-            .and_then(convert::read_hello);
+        let answer = resp.get().and_then(|r| r.get_hello()).and_then(convert::read_hello);
         let answer = answer.map_err(|e| e.to_string())?;
         if answer.life.instance != to.id {
-            return Err(format!(
-                "{} is `{}`, not `{}`",
-                to.address, answer.life.instance, to.id
-            ));
+            return Err(format!("{} is `{}`, not `{}`", to.address, answer.life.instance, to.id));
         }
         Ok(client)
     };
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -34,10 +34,7 @@
 
 pub fn read_life(from: wire::life::Reader<'_>) -> Result<Life> {
     let instance = InstanceId::new(str_of(from.get_instance()?)?).map_err(|e| malformed(&e))?;
-    Ok(Life {
-        instance,
-        incarnation: Incarnation(from.get_incarnation()),
-    })
+    Ok(Life { instance, incarnation: Incarnation(from.get_incarnation()) })
 }
 
 pub fn write_hello(hello: &Hello, mut to: wire::hello::Builder<'_>) {
@@ -108,10 +105,7 @@
 
 fn read_split(from: wire::split::Reader<'_>) -> Result<Split> {
     let service = ServiceName::new(str_of(from.get_service()?)?).map_err(|e| malformed(&e))?;
-    Ok(Split {
-        service,
-        per_million: from.get_per_million()?.iter().collect(),
-    })
+    Ok(Split { service, per_million: from.get_per_million()?.iter().collect() })
 }
 
 pub fn read_exchange(from: wire::exchange::Reader<'_>) -> Result<Exchange> {
@@ -123,16 +117,8 @@
         shares_digest: from.get_shares_digest(),
         load_per_mille: from.get_load_per_mille(),
         loads: from.get_loads()?.iter().map(read_load).collect::<Result<_>>()?,
-        strikes: from
-            .get_strikes()?
-            .iter()
-            .map(read_strike)
-            .collect::<Result<_>>()?,
-        successions: from
-            .get_successions()?
-            .iter()
-            .map(read_succession)
-            .collect::<Result<_>>()?,
+        strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
+        successions: from.get_successions()?.iter().map(read_succession).collect::<Result<_>>()?,
         splits: from.get_splits()?.iter().map(read_split).collect::<Result<_>>()?,
     })
 }
@@ -177,10 +163,7 @@
 }
 
 fn read_succession(from: wire::succession::Reader<'_>) -> Result<Succession> {
-    Ok(Succession {
-        left: read_life(from.get_left()?)?,
-        successor: read_life(from.get_successor()?)?,
-    })
+    Ok(Succession { left: read_life(from.get_left()?)?, successor: read_life(from.get_successor()?)? })
 }
 
 pub fn write_configuration(cfg: &Configuration, mut to: wire::configuration::Builder<'_>) {
@@ -211,11 +194,7 @@
 
 pub fn read_share_bucket(from: wire::share_bucket::Reader<'_>) -> Result<ShareBucket> {
     let records = string_of(from.get_records()?)?;
-    Ok(ShareBucket {
-        bucket: from.get_bucket(),
-        version: from.get_version(),
-        records,
-    })
+    Ok(ShareBucket { bucket: from.get_bucket(), version: from.get_version(), records })
 }
 
 pub fn write_loan(loan: &Loan, mut to: wire::loan::Builder<'_>) {
@@ -225,11 +204,7 @@
 }
 
 pub fn read_loan(from: wire::loan::Reader<'_>) -> Loan {
-    Loan {
-        granted: from.get_granted(),
-        left: from.get_left(),
-        refused: from.get_refused(),
-    }
+    Loan { granted: from.get_granted(), left: from.get_left(), refused: from.get_refused() }
 }
 
 pub fn write_relayed(req: &RelayedRequest, mut to: wire::relayed_request::Builder<'_>) {
@@ -308,12 +283,7 @@
         wire::once_record::Unknown(()) => None,
         wire::once_record::Finished(answer) => Some(read_answer(answer?)?),
     };
-    Ok(OnceRecord {
-        key,
-        fingerprint: from.get_fingerprint(),
-        age_ms: from.get_age_ms(),
-        answer,
-    })
+    Ok(OnceRecord { key, fingerprint: from.get_fingerprint(), age_ms: from.get_age_ms(), answer })
 }
 
 fn write_answer(answer: &WholeAnswer, mut to: wire::whole_answer::Builder<'_>) {
@@ -348,10 +318,7 @@
 
 // An unknown kind comes from a newer program: whether the request ran can't be told.
 fn serde_name(name: &str) -> ErrorKind {
-    ErrorKind::ALL
-        .into_iter()
-        .find(|kind| kind.as_str() == name)
-        .unwrap_or(ErrorKind::Internal)
+    ErrorKind::ALL.into_iter().find(|kind| kind.as_str() == name).unwrap_or(ErrorKind::Internal)
 }
 
 pub fn str_of(text: text::Reader<'_>) -> Result<&str> {
--- a/crates/burdock-wire/src/lib.rs
+++ b/crates/burdock-wire/src/lib.rs
@@ -10,13 +10,7 @@
 mod threads;
 
 /// Code generated from `schema/peer.capnp` by `generate.sh`.
-#[allow(
-    warnings,
-    clippy::all,
-    clippy::pedantic,
-    missing_docs,
-    reason = "generated code"
-)]
+#[allow(warnings, clippy::all, clippy::pedantic, missing_docs, reason = "generated code")]
 #[doc(hidden)]
 pub mod peer_capnp {
     include!("generated/peer_capnp.rs");
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -53,9 +53,7 @@
 
 impl std::fmt::Debug for Handlers {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Handlers")
-            .field("hello", &self.hello)
-            .finish_non_exhaustive()
+        f.debug_struct("Handlers").field("hello", &self.hello).finish_non_exhaustive()
     }
 }
 
@@ -96,16 +94,10 @@
     let stream = TcpStream::from_std(stream).map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
     let (read, write) = stream.into_split();
-    let network = VatNetwork::new(
-        read.compat(),
-        write.compat_write(),
-        Side::Server,
-        convert::reader_options(),
-    );
+    let network =
+        VatNetwork::new(read.compat(), write.compat_write(), Side::Server, convert::reader_options());
     let server: peer::Client = capnp_rpc::new_client(Server { handlers, runtime });
-    RpcSystem::new(Box::new(network), Some(server.client))
-        .await
-        .map_err(|e| e.to_string())
+    RpcSystem::new(Box::new(network), Some(server.client)).await.map_err(|e| e.to_string())
 }
 
 struct Server {
@@ -117,9 +109,7 @@
     // Handlers touch shared state and wait on other tasks, so they run on the main runtime.
     async fn run<A, R: Send + 'static>(&self, handler: &Handler<A, R>, arg: A) -> capnp::Result<R> {
         let result = self.runtime.spawn(handler(arg)).await;
-        result
-            .map_err(|e| failed(&e.to_string()))?
-            .map_err(|e: Error| failed(&e.to_string()))
+        result.map_err(|e| failed(&e.to_string()))?.map_err(|e: Error| failed(&e.to_string()))
     }
 }
 
@@ -151,10 +141,7 @@
         mut results: peer::ConfigurationResults,
     ) -> capnp::Result<()> {
         let names = params.get()?.get_blobs()?;
-        let names = names
-            .iter()
-            .map(|n| convert::string_of(n?))
-            .collect::<capnp::Result<Vec<String>>>()?;
+        let names = names.iter().map(|n| convert::string_of(n?)).collect::<capnp::Result<Vec<String>>>()?;
         let answer = self.run(&self.handlers.configuration, names).await?;
         convert::write_configuration(&answer, results.get().init_configuration());
         Ok(())
@@ -168,11 +155,7 @@
         let params = params.get()?;
         let sender =
             InstanceId::new(convert::str_of(params.get_sender()?)?).map_err(|e| failed(&e.to_string()))?;
-        self.run(
-            &self.handlers.head_changed,
-            (Revision(params.get_revision()), sender),
-        )
-        .await
+        self.run(&self.handlers.head_changed, (Revision(params.get_revision()), sender)).await
     }
 
     async fn announce_change(
@@ -204,9 +187,7 @@
         params: peer::ActingSharesParams,
         mut results: peer::ActingSharesResults,
     ) -> capnp::Result<()> {
-        let versions = self
-            .run(&self.handlers.acting_shares, params.get()?.get_bucket())
-            .await?;
+        let versions = self.run(&self.handlers.acting_shares, params.get()?.get_bucket()).await?;
         results.get().set_versions(&versions);
         Ok(())
     }
@@ -218,9 +199,7 @@
     ) -> capnp::Result<()> {
         let params = params.get()?;
         let organisation = convert::string_of(params.get_organisation()?)?;
-        let loan = self
-            .run(&self.handlers.lend, (organisation, params.get_wanted()))
-            .await?;
+        let loan = self.run(&self.handlers.lend, (organisation, params.get_wanted())).await?;
         convert::write_loan(&loan, results.get().init_loan());
         Ok(())
     }
@@ -231,11 +210,8 @@
         mut results: peer::RelayResults,
     ) -> capnp::Result<()> {
         let req = convert::read_relayed(params.get()?.get_request()?)?;
-        let result = self
-            .runtime
-            .spawn((self.handlers.relay)(req))
-            .await
-            .map_err(|e| failed(&e.to_string()))?;
+        let result =
+            self.runtime.spawn((self.handlers.relay)(req)).await.map_err(|e| failed(&e.to_string()))?;
         convert::write_relay_result(&result, results.get().init_answer());
         Ok(())
     }
@@ -246,11 +222,7 @@
         mut results: peer::HandOverResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
-        let left = params
-            .get_left()?
-            .iter()
-            .map(convert::read_life)
-            .collect::<capnp::Result<Vec<Life>>>()?;
+        let left = params.get_left()?.iter().map(convert::read_life).collect::<capnp::Result<Vec<Life>>>()?;
         let records = params.get_records()?.iter().map(convert::read_once_record);
         let records = records.collect::<capnp::Result<Vec<OnceRecord>>>()?;
         let taken = self.run(&self.handlers.hand_over, (left, records)).await?;
--- a/crates/burdock-wire/src/threads.rs
+++ b/crates/burdock-wire/src/threads.rs
@@ -32,14 +32,10 @@
         let mut queues = Vec::with_capacity(count);
         for ix in 0..count.max(1) {
             let (tx, rx) = mpsc::channel(QUEUE);
-            std::thread::Builder::new()
-                .name(format!("peer-{ix}"))
-                .spawn(move || run(rx))?;
+            std::thread::Builder::new().name(format!("peer-{ix}")).spawn(move || run(rx))?;
             queues.push(tx);
         }
-        Ok(Self {
-            queues: queues.into(),
-        })
+        Ok(Self { queues: queues.into() })
     }
 
     /// Starts a job on the thread that a number falls to. Returns whether there was room.
