Bound connections, spilled work and link use; measure slopes, paths and promises

Cause: connections to a backend server were bounded for each instance only (24 x 256 against about 800); what failed over was split but not bounded by headroom; the shared link's room did not count what was sent; heartbeats of 580 members were 21 s old at the median and a member's messages took 17 to 19 KB/s. Change: connection share and subset by the number of senders; work that leaves the region is bounded by dealt headroom; bytes to other regions are counted against this instance's part of the link; twelve load reports a message.

--- a/crates/burdock-decide/src/pick.rs
+++ b/crates/burdock-decide/src/pick.rs
@@ -24,6 +24,12 @@
 /// Connections that a backend server holds, all instances together.
 pub const BACKEND_CONNECTIONS: usize = 800;
 
+/// The fewest connections that serve a backend server well from one instance.
+const LEAST_CONNECTIONS: usize = 8;
+
+/// The fewest backend servers that an instance sends to, so that one can fail.
+const LEAST_BACKENDS: usize = 2;
+
 /// What an instance knows of one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendView {
@@ -123,24 +129,31 @@
     }
 }
 
-/// The backend servers that one instance keeps connections to, so that no backend server is asked for
-/// more than [`BACKEND_CONNECTIONS`] by the whole fleet.
-pub fn subset<'a, T>(
+/// Connections that one instance may have to one backend server, when so many instances send to it.
+///
+/// ```
+/// use burdock_decide::pick::connection_share;
+/// assert_eq!(connection_share(24), 33);
+/// assert_eq!(connection_share(10_000), 8);
+/// ```
+#[must_use]
+pub fn connection_share(senders: usize) -> usize {
+    (BACKEND_CONNECTIONS / senders.max(1)).max(LEAST_CONNECTIONS)
+}
+
+/// The backend servers that one instance sends to: all of them while each can hold enough connections from
+/// every sender, else a part by rendezvous rank, so that the fleet stays under [`BACKEND_CONNECTIONS`].
+pub fn subset<T>(
     own: &str,
-    instances: usize,
-    connections_each: usize,
-    backends: impl Iterator<Item = &'a T>,
+    senders: usize,
+    backends: impl Iterator<Item = T>,
     id: impl Fn(&T) -> &str,
-) -> Vec<&'a T> {
-    let total: Vec<&T> = backends.collect();
-    let wanted_connections = instances.max(1) * connections_each.max(1);
-    let kept = (total.len() * BACKEND_CONNECTIONS)
-        .div_ceil(wanted_connections)
-        .clamp(total.len().min(2), total.len());
-    let subject = stable(own.as_bytes(), 3);
-    let mut chosen = ranked(subject, total.into_iter(), |b| id(b));
-    chosen.truncate(kept);
-    chosen
+) -> Vec<T> {
+    let mut ranked = ranked(stable(own.as_bytes(), 3), backends, id);
+    let wanted = senders.max(1) * LEAST_CONNECTIONS;
+    let kept = (ranked.len() * BACKEND_CONNECTIONS).div_ceil(wanted);
+    ranked.truncate(kept.max(LEAST_BACKENDS));
+    ranked
 }
 
 /// Whether this instance is one of a backend server's probers. `instances` are those of its region.
--- a/crates/burdock-decide/src/region.rs
+++ b/crates/burdock-decide/src/region.rs
@@ -93,6 +93,22 @@
     u32::try_from(free.div_ceil(senders).min(free)).unwrap_or(u32::MAX)
 }
 
+/// Requests that an instance may have at work in another region: what it has there, and its part of what is
+/// free. All instances together then stay under the ceiling, but for what reports lag behind.
+///
+/// ```
+/// use burdock_decide::region::{allowance, RegionView};
+/// use std::time::Duration;
+/// let region = RegionView { local: false, slots: 20, busy: 7, one_way: Duration::ZERO, senders: 2,
+///     planned_per_mille: None, link_room: None };
+/// assert_eq!(allowance(&region, 3), 8);
+/// assert_eq!(allowance(&RegionView { busy: 20, ..region }, 3), 3);
+/// ```
+#[must_use]
+pub fn allowance(region: &RegionView, own_at_work: u32) -> u32 {
+    own_at_work + dealt_headroom(region)
+}
+
 fn planned_split(regions: &[RegionView]) -> Vec<u32> {
     let weight = |r: &RegionView| {
         if r.slots > 0 { r.planned_per_mille.unwrap_or(0) } else { 0 }
--- a/crates/burdock-node/benches/capacity/fit.rs
+++ b/crates/burdock-node/benches/capacity/fit.rs
@@ -42,10 +42,17 @@
         Line { base, slope, residual }
     }
 
-    /// The cost at a size, by the line.
+    /// The cost at a size: straight between the measured points around it, by the line beyond them.
     pub fn at(&self, size: f64) -> f64 {
-        let line = self.line();
-        (line.base + line.slope * size).max(0.0)
+        let around = self.points.windows(2).find(|w| (w[0].0..=w[1].0).contains(&size));
+        let cost = match around {
+            Some(&[(x0, y0), (x1, y1)]) => y0 + (y1 - y0) * (size - x0) / (x1 - x0),
+            _ => {
+                let line = self.line();
+                line.base + line.slope * size
+            }
+        };
+        cost.max(0.0)
     }
 
     /// The series with its line.
--- a/crates/burdock-node/benches/capacity/measure.rs
+++ b/crates/burdock-node/benches/capacity/measure.rs
@@ -25,7 +25,7 @@
 const BLOCKS: [usize; 4] = [10_000, 100_000, 500_000, 1_400_000];
 
 /// Sizes of the fleet.
-const MEMBERS: [usize; 4] = [25, 100, 300, 580];
+const MEMBERS: [usize; 5] = [24, 100, 150, 300, 580];
 
 /// Numbers of organisations.
 const ORGANISATIONS: [usize; 4] = [10, 100, 500, 2000];
--- a/crates/burdock-node/benches/capacity/report.rs
+++ b/crates/burdock-node/benches/capacity/report.rs
@@ -31,7 +31,9 @@
         .build_cartesian_2d(0.0..right, 0.0..top.max(1e-9))?;
     chart.configure_mesh().x_desc(format!("{}s", series.per)).y_desc(series.unit).draw()?;
     chart.draw_series(series.points.iter().map(|p| Circle::new(*p, 4, BLUE.filled())))?;
-    chart.draw_series(LineSeries::new([(0.0, series.at(0.0)), (right, series.at(right))], &RED))?;
+    let line = series.line();
+    let ends = [0.0, right].map(|x| (x, line.base + line.slope * x));
+    chart.draw_series(LineSeries::new(ends, &RED))?;
     root.present()?;
     Ok(())
 }
--- a/crates/burdock-node/benches/capacity/sizes.rs
+++ b/crates/burdock-node/benches/capacity/sizes.rs
@@ -65,6 +65,9 @@
 const DAY_SECONDS: f64 = 86_400.0;
 const FRAME_BYTES: f64 = 120.0;
 
+/// Twelve load reports of a backend server each, in a full message.
+const LOADS_BYTES: f64 = 12.0 * 48.0;
+
 /// One row for each role and size.
 pub fn roles(series: &[Series]) -> Vec<Value> {
     [TODAY, DESIGN].iter().flat_map(|size| rows(series, size)).collect()
@@ -95,7 +98,7 @@
 }
 
 fn member(series: &[Series], size: &Size) -> Value {
-    let full = find(series, "exchange message").at(size.instances) + FRAME_BYTES;
+    let full = find(series, "exchange message").at(size.instances) + FRAME_BYTES + LOADS_BYTES;
     let light = find(series, "watcher message").at(size.instances) + FRAME_BYTES;
     let rounds = 1.0 / size.round_seconds;
     let watchers = if size.instances > 128.0 { 1.0 } else { WATCHERS };
--- a/crates/burdock-node/benches/paths.rs
+++ b/crates/burdock-node/benches/paths.rs
@@ -112,9 +112,95 @@
         "latency_at_requests_per_second": paced.round(),
         "latency_pairs": pairs.iter().map(|(d, t)| latency_row(d, t)).collect::<Vec<_>>(),
         "memory": memory,
+        "promises": promises().await,
     })
 }
 
+// Times from an operator's or a backend server's word until it holds everywhere, with six processes.
+async fn promises() -> Value {
+    let cluster = Cluster::start(6, 6).await;
+    json!({
+        "instances": cluster.instances.len(),
+        "change_in_force_everywhere_ms": change_ms(&cluster).await,
+        "key_withdrawn_everywhere_ms": withdrawal_ms(&cluster).await,
+        "last_new_work_after_operators_drain_ms": drain_ms(&cluster, true).await,
+        "last_new_work_after_backend_says_it_leaves_ms": drain_ms(&cluster, false).await,
+    })
+}
+
+async fn change_ms(cluster: &Cluster) -> u64 {
+    let began = Instant::now();
+    let change =
+        cluster.admin(0, Method::PATCH, "/v1/tree/settings", json!({"retries": 1})).await.expect("an answer");
+    let revision = change.json()["revision"].as_u64().expect("a revision");
+    for ix in 0..cluster.instances.len() {
+        cluster
+            .wait_for(async || {
+                let status =
+                    cluster.admin(ix, Method::GET, "/v1/status", json!(null)).await.expect("a status").json();
+                status["revision"].as_u64() >= Some(revision)
+            })
+            .await;
+    }
+    millis(began.elapsed())
+}
+
+async fn withdrawal_ms(cluster: &Cluster) -> u64 {
+    let issued = cluster.admin(0, Method::POST, "/v1/organisations/farm-dobele/keys", json!(null)).await;
+    let issued = issued.expect("an answer").json();
+    let key = issued["key"].as_str().expect("a key").to_owned();
+    let headers = [("x-api-key", key.as_str())];
+    let path = format!("/v1/organisations/farm-dobele/keys/{}", issued["id"].as_str().expect("an id"));
+    let began = Instant::now();
+    cluster.admin(0, Method::DELETE, &path, json!(null)).await.expect("an answer");
+    for ix in 0..cluster.instances.len() {
+        cluster
+            .wait_for(async || cluster.get(ix, "/quotes/1", &headers).await.is_some_and(|a| a.status == 401))
+            .await;
+    }
+    millis(began.elapsed())
+}
+
+// A steady load goes on; the backend server's own log tells when the last new request began there.
+async fn drain_ms(cluster: &Cluster, by_operator: bool) -> u64 {
+    const WATCHED: Duration = Duration::from_secs(6);
+    let key = cluster.key(ORGANISATION).to_owned();
+    let headers = [("x-api-key", key.as_str())];
+    let victim = usize::from(!by_operator) * 3;
+    let load = async {
+        let end = Instant::now() + WATCHED;
+        while Instant::now() < end {
+            for ix in 0..cluster.instances.len() {
+                cluster.get(ix, "/quotes/drain", &headers).await;
+            }
+        }
+    };
+    let drain = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let at = wall_clock_us();
+        if by_operator {
+            let body = json!({"kind": "backend", "name": cluster.backends[victim].id});
+            cluster.admin(0, Method::POST, "/v1/drains", body).await.expect("an answer");
+        } else {
+            cluster.backend_fault(victim, json!({"drain": true})).await;
+        }
+        at
+    };
+    let ((), at) = tokio::join!(load, drain);
+    let log = cluster.ran_on(victim).await;
+    let last = log.iter().map(|r| r.start_us).max().unwrap_or(at);
+    last.saturating_sub(at) / 1000
+}
+
+fn wall_clock_us() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    u64::try_from(since.as_micros()).expect("a time of this age")
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).expect("a short time")
+}
+
 fn latency_row(direct: &Load, through: &Load) -> Value {
     let at = |load: &Load, quantile: f64| load.latency_us.value_at_quantile(quantile);
     let added =
--- a/crates/burdock-node/src/admin/router.rs
+++ b/crates/burdock-node/src/admin/router.rs
@@ -16,8 +16,9 @@
 use burdock_model::resolve::{Scope, resolve};
 use burdock_model::treepath::{self, Edit, tag};
 use burdock_platform::config::write_blob;
+use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, ETAG, IF_MATCH};
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tower::{BoxError, ServiceBuilder};
@@ -105,9 +106,9 @@
         .concurrency_limit(MAX_REQUESTS)
         .timeout(TIME_LIMIT);
     Router::new()
-        .route("/v1/tree", get(read_root).put(put_root).patch(patch_root))
-        .route("/v1/tree/", get(read_root).put(put_root).patch(patch_root))
-        .route("/v1/tree/{*path}", get(read).put(replace).patch(merge).delete(remove))
+        .route("/v1/tree", get(read_root).put(change_root).patch(change_root))
+        .route("/v1/tree/", get(read_root).put(change_root).patch(change_root))
+        .route("/v1/tree/{*path}", get(read).put(change).patch(change).delete(change))
         .route("/v1/organisations/{organisation}/keys", post(issue_key))
         .route("/v1/organisations/{organisation}/keys/{id}", delete(withdraw_key))
         .route("/v1/drains", post(drain))
@@ -190,72 +191,42 @@
     serde_json::to_value(resolve(tree, scope)).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
 }
 
-async fn put_root(
+async fn change_root(
     state: Shared,
     who: Who,
     query: Query<TreeQuery>,
+    method: Method,
     headers: HeaderMap,
-    body: Json<Value>,
+    body: Bytes,
 ) -> Answer<Response> {
-    replace(state, who, Path(String::new()), query, headers, body).await
+    change(state, who, Path(String::new()), query, method, headers, body).await
 }
 
-async fn patch_root(
-    state: Shared,
-    who: Who,
-    query: Query<TreeQuery>,
-    headers: HeaderMap,
-    body: Json<Value>,
-) -> Answer<Response> {
-    merge(state, who, Path(String::new()), query, headers, body).await
-}
-
-async fn replace(
-    State(node): Shared,
-    who: Who,
-    Path(path): Path<String>,
-    Query(query): Query<TreeQuery>,
-    headers: HeaderMap,
-    Json(body): Json<Value>,
-) -> Answer<Response> {
-    edit(&node, &who, &path, Edit::Put(body), &query, &headers).await
-}
-
-async fn merge(
+async fn change(
     State(node): Shared,
-    who: Who,
-    Path(path): Path<String>,
-    Query(query): Query<TreeQuery>,
-    headers: HeaderMap,
-    Json(body): Json<Value>,
-) -> Answer<Response> {
-    edit(&node, &who, &path, Edit::Merge(body), &query, &headers).await
-}
-
-async fn remove(
-    State(node): Shared,
-    who: Who,
+    Extension(who): Who,
     Path(path): Path<String>,
     Query(query): Query<TreeQuery>,
+    method: Method,
     headers: HeaderMap,
-) -> Answer<Response> {
-    edit(&node, &who, &path, Edit::Delete, &query, &headers).await
-}
-
-async fn edit(
-    node: &Arc<Node>,
-    who: &Operator,
-    path: &str,
-    edit: Edit,
-    query: &TreeQuery,
-    headers: &HeaderMap,
+    body: Bytes,
 ) -> Answer<Response> {
     let if_match = headers.get(IF_MATCH).and_then(|v| v.to_str().ok());
-    let wish = Wish { operator: &who.0, path, edit, if_match, rebase: false };
+    let edit = edit_of(&method, &body)?;
+    let wish = Wish { operator: &who.0, path: &path, edit, if_match, rebase: false };
     if query.dry_run {
-        return Ok(Json(preview(node, &wish).await?).into_response());
+        return Ok(Json(preview(&node, &wish).await?).into_response());
     }
-    Ok(Json(make(node, &wish).await?).into_response())
+    Ok(Json(make(&node, &wish).await?).into_response())
+}
+
+fn edit_of(method: &Method, body: &[u8]) -> Result<Edit> {
+    if *method == Method::DELETE {
+        return Ok(Edit::Delete);
+    }
+    let value = serde_json::from_slice(body)
+        .map_err(|e| Error::new(ErrorKind::InvalidTree, format!("the body is not JSON: {e}")))?;
+    Ok(if *method == Method::PATCH { Edit::Merge(value) } else { Edit::Put(value) })
 }
 
 async fn issue_key(
--- a/crates/burdock-node/src/entry/guarded.rs
+++ b/crates/burdock-node/src/entry/guarded.rs
@@ -49,6 +49,8 @@
     pub permit: Permit,
     /// Counts the request here.
     pub at_work: AtWork,
+    /// Bytes of the request's body.
+    pub sent_bytes: u64,
     /// The request's fingerprint.
     pub fingerprint: u64,
     /// It is a suspect that ran alone.
@@ -123,8 +125,8 @@
                 if held.alone {
                     node.quarantine.cleared(held.fingerprint);
                 }
+                node.observe_bytes(&held.in_flight.backend().region, self.received + held.sent_bytes);
                 held.in_flight.backend().pool.put(held.connection);
-                node.observe_bytes(self.received);
                 None
             }
             End::WholeAndClosed => None,
--- a/crates/burdock-node/src/entry/handle.rs
+++ b/crates/burdock-node/src/entry/handle.rs
@@ -106,6 +106,7 @@
     }
     let body = request_body(&outbound, body).await?;
     outbound.identify(body.held(), idempotency_key.as_ref().and_then(|k| k.to_str().ok()));
+    let sent_bytes = body.size_hint().exact().unwrap_or(0);
     let running = run(node, &outbound, body).await?;
     let rights = Rights {
         node: Arc::clone(node),
@@ -113,10 +114,16 @@
         checked: outbound.in_force.snapshot.revision,
         deadline: outbound.deadline,
     };
-    Ok(stream(running, &outbound, rights, at_work))
+    Ok(stream(running, &outbound, rights, at_work, sent_bytes))
 }
 
-fn stream(running: Running, outbound: &Outbound, rights: Rights, at_work: AtWork) -> Response<EntryBody> {
+fn stream(
+    running: Running,
+    outbound: &Outbound,
+    rights: Rights,
+    at_work: AtWork,
+    sent_bytes: u64,
+) -> Response<EntryBody> {
     let Running { answered, permit, alone } = running;
     let (parts, incoming) = answered.resp.into_parts();
     let framing = framing_of(&parts.headers, &incoming);
@@ -125,6 +132,7 @@
         in_flight: answered.in_flight,
         permit,
         at_work,
+        sent_bytes,
         fingerprint: outbound.fingerprint,
         alone,
     };
--- a/crates/burdock-node/src/fleet/exchange.rs
+++ b/crates/burdock-node/src/fleet/exchange.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use burdock_decide::membership::{MAX_DIGEST, Member, Source, partners, round_time, watcher_digest};
+use burdock_decide::membership::{
+    MAX_DIGEST, MAX_WATCHER_DIGEST, Member, Source, partners, round_time, watcher_digest,
+};
 use burdock_decide::time::Time;
 use burdock_model::error::Result;
 use burdock_model::fleet::{BackendLoad, Split};
@@ -16,7 +18,7 @@
 use crate::observe::counters::Counter;
 
 /// Load reports in one message.
-const MAX_LOADS: usize = 48;
+const MAX_LOADS: usize = 12;
 
 /// Runs rounds of exchange for as long as the instance lives.
 pub async fn exchange_loop(node: Arc<Node>) {
@@ -134,7 +136,7 @@
     }
 }
 
-/// What this instance tells another, with at most `limit` heartbeats.
+/// What this instance tells another, with at most `limit` heartbeats. Short messages have no load reports.
 #[must_use]
 pub fn compose(node: &Node, limit: usize) -> Exchange {
     let now = node.clock.now();
@@ -147,7 +149,7 @@
         store_age_ms: age.and_then(|ms| u32::try_from(ms).ok()),
         shares_digest: node.limits.records.digest(),
         load_per_mille: super::plan::load_per_mille(node),
-        loads: loads(node, now),
+        loads: if limit > MAX_WATCHER_DIGEST { loads(node, now) } else { Vec::new() },
         strikes: node.quarantine.told(now),
         successions: node.fleet.successions(),
         splits: in_force.services.iter().filter_map(split_of).collect(),
--- a/crates/burdock-node/src/fleet/plan.rs
+++ b/crates/burdock-node/src/fleet/plan.rs
@@ -5,11 +5,12 @@
 
 use burdock_decide::admit::running_limit;
 use burdock_decide::membership::Standing;
-use burdock_decide::pick::{BackendView, estimated_in_flight};
-use burdock_decide::region::{DemandView, RegionView, target_split};
+use burdock_decide::pick::{BackendView, connection_share, estimated_in_flight, subset};
+use burdock_decide::region::{DemandView, RegionView, allowance, target_split};
 use burdock_decide::shift::slew;
 use burdock_decide::time::Time;
 
+use crate::forward::admission::FIRST_LIMIT;
 use crate::in_force::{InForce, RegionState, ServiceState, SplitState};
 use crate::node::Node;
 
@@ -34,6 +35,7 @@
             plan(&node, service, began, now);
         }
         node.quarantine.sweep(now);
+        node.link_use.tick(now);
     }
 }
 
@@ -59,11 +61,9 @@
 
 fn plan(node: &Node, service: &ServiceState, began: Time, now: Time) {
     let senders = senders(node);
+    share_connections(node, service, senders);
     let views: Vec<Vec<BackendView>> =
         service.regions.iter().map(|r| r.backends.iter().map(|b| b.view(now)).collect()).collect();
-    let usable = views.iter().flatten().filter(|v| v.open);
-    let limit = running_limit(usable, senders, now);
-    service.admission.set_limit(limit, node.clock);
     let in_force = node.in_force.load();
     let regions: Vec<RegionView> = service
         .regions
@@ -71,6 +71,8 @@
         .zip(&views)
         .map(|(region, views)| region_view(&in_force, node, region, views, senders, now))
         .collect();
+    let limit = limit(&regions, &views, senders, now);
+    service.admission.set_limit(limit, node.clock);
     let demand = demand(service, &views, node);
     let target = target_split(&regions, &demand);
     let present = service.split.load_full();
@@ -108,7 +110,9 @@
         one_way: region.one_way,
         senders: u32::try_from(senders).unwrap_or(u32::MAX),
         planned_per_mille: region.planned,
-        link_room: link.filter(|_| !region.local).map(|bytes| bytes / senders.max(1) as u64),
+        link_room: link
+            .filter(|_| !region.local)
+            .map(|bytes| node.link_use.room(bytes / senders.max(1) as u64)),
     }
 }
 
@@ -124,6 +128,34 @@
     }
 }
 
+// What may run: in the own region up to a short queue at the backend servers, elsewhere only what the region's
+// headroom allows, so that no region is overloaded by what spills or fails over.
+fn limit(regions: &[RegionView], views: &[Vec<BackendView>], senders: usize, now: Time) -> usize {
+    // With no backend server in use, requests must not wait: they are refused when one is looked for.
+    if regions.iter().all(|r| r.slots == 0) {
+        return FIRST_LIMIT;
+    }
+    let of_region = |(region, views): (&RegionView, &Vec<BackendView>)| {
+        let open = || views.iter().filter(|v| v.open);
+        if region.local {
+            return running_limit(open(), senders, now);
+        }
+        allowance(region, open().map(|v| v.own_in_flight).sum()) as usize
+    };
+    regions.iter().zip(views).map(of_region).sum::<usize>().max(1)
+}
+
+fn share_connections(node: &Node, service: &ServiceState, senders: usize) {
+    let share = connection_share(senders);
+    let own = node.life.instance.as_str();
+    for region in &service.regions {
+        let chosen = subset(own, senders, region.backends.iter(), |b| b.id.as_str());
+        for backend in &region.backends {
+            backend.set_part(chosen.iter().any(|c| c.id == backend.id), share);
+        }
+    }
+}
+
 // Instances that may send work anywhere: those that are alive.
 fn senders(node: &Node) -> usize {
     let view = node.fleet.view();
--- a/crates/burdock-node/src/forward/admission.rs
+++ b/crates/burdock-node/src/forward/admission.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 
 /// Requests that may run before the first plan has looked at the backend servers.
-const FIRST_LIMIT: usize = 64;
+pub const FIRST_LIMIT: usize = 64;
 
 /// Requests that may wait.
 const ROOM: usize = 1024;
--- a/crates/burdock-node/src/forward/backends.rs
+++ b/crates/burdock-node/src/forward/backends.rs
@@ -35,6 +35,7 @@
     draining: AtomicBool,
     in_flight: AtomicU32,
     alone: AtomicBool,
+    in_subset: AtomicBool,
     service_time_us: AtomicU64,
     since: AtomicU64,
     health: Mutex<Health>,
@@ -65,6 +66,7 @@
             draining: AtomicBool::new(backend.draining),
             in_flight: AtomicU32::new(0),
             alone: AtomicBool::new(false),
+            in_subset: AtomicBool::new(true),
             service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
             since: AtomicU64::new(now.0),
             health: Mutex::default(),
@@ -86,6 +88,12 @@
         }
     }
 
+    /// Sets whether this instance sends to it, and over how many connections.
+    pub fn set_part(&self, in_subset: bool, connections: usize) {
+        self.in_subset.store(in_subset, Ordering::Relaxed);
+        self.pool.set_limit(connections);
+    }
+
     /// The view that decisions are made from.
     #[must_use]
     pub fn view(&self, now: Time) -> BackendView {
@@ -96,7 +104,9 @@
             reported: report.in_flight,
             reported_at: report.at,
             service_time: Duration::from_micros(self.service_time_us.load(Ordering::Relaxed)),
-            open: self.is_open(now) && !self.alone.load(Ordering::Relaxed),
+            open: self.is_open(now)
+                && self.in_subset.load(Ordering::Relaxed)
+                && !self.alone.load(Ordering::Relaxed),
             since: Time(self.since.load(Ordering::Relaxed)),
         }
     }
--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to one backend server: one request at a time on each.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -11,8 +12,8 @@
 
 use crate::forward::body::RequestBody;
 
-/// Connections to one backend server from one instance.
-pub const MAX_CONNECTIONS: usize = 256;
+/// Connections to one backend server before the first plan has counted the senders.
+const FIRST_LIMIT: usize = 32;
 
 /// The longest time to connect.
 const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
@@ -31,14 +32,15 @@
 pub struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<Connection>>,
-    open: std::sync::Arc<AtomicUsize>,
+    open: Arc<AtomicUsize>,
+    limit: AtomicUsize,
 }
 
 impl Pool {
     /// An empty pool.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::default(), open: std::sync::Arc::default() }
+        Self { address, idle: Mutex::default(), open: Arc::default(), limit: AtomicUsize::new(FIRST_LIMIT) }
     }
 
     /// Connections that are open.
@@ -47,6 +49,11 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Changes how many may be open. Those beyond it go as they come to rest.
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.store(limit, Ordering::Relaxed);
+    }
+
     /// A free connection: the one used last, or a new one.
     ///
     /// # Errors
@@ -63,7 +70,8 @@
 
     /// Puts a connection back after a whole answer.
     pub fn put(&self, connection: Connection) {
-        if !connection.is_closed() {
+        let within = self.open() <= self.limit.load(Ordering::Relaxed);
+        if within && !connection.is_closed() {
             self.idle.lock().push(connection);
         }
     }
@@ -83,8 +91,9 @@
     }
 
     async fn connect(&self) -> Result<Connection, String> {
+        let limit = self.limit.load(Ordering::Relaxed);
         let opened =
-            Opened::count(&self.open).ok_or_else(|| format!("{MAX_CONNECTIONS} connections are open"))?;
+            Opened::count(&self.open, limit).ok_or_else(|| format!("{limit} connections are open"))?;
         let connect = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
         let stream = connect.map_err(|_elapsed| format!("no connection within {CONNECT_LIMIT:?}"))?;
         let stream = stream.map_err(|e| e.to_string())?;
@@ -102,13 +111,13 @@
 }
 
 // Counts one open connection until it is dropped.
-struct Opened(std::sync::Arc<AtomicUsize>);
+struct Opened(Arc<AtomicUsize>);
 
 impl Opened {
-    fn count(open: &std::sync::Arc<AtomicUsize>) -> Option<Self> {
+    fn count(open: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
         let before = open.fetch_add(1, Ordering::Relaxed);
-        let counted = Self(std::sync::Arc::clone(open));
-        (before < MAX_CONNECTIONS).then_some(counted)
+        let counted = Self(Arc::clone(open));
+        (before < limit).then_some(counted)
     }
 }
 
--- a/crates/burdock-node/src/node.rs
+++ b/crates/burdock-node/src/node.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use burdock_decide::time::Time;
-use burdock_model::ids::{Incarnation, Life, Revision};
+use burdock_model::ids::{Incarnation, Life, RegionName, Revision};
 use burdock_platform::budget::CallBudget;
 use burdock_platform::store::Store;
 use burdock_wire::client::Peers;
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::fleet::Fleet;
 use crate::fleet::install::ConfigState;
+use crate::forward::link_use::LinkUse;
 use crate::forward::quarantine::Quarantine;
 use crate::in_force::InForce;
 use crate::limits::Limits;
@@ -58,6 +59,8 @@
     pub once: OnceTable,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Bytes to and from other regions.
+    pub link_use: LinkUse,
     /// The platform's store.
     pub store: Store,
     /// Calls made to it.
@@ -104,6 +107,7 @@
             limits: Limits::default(),
             once: OnceTable::default(),
             quarantine: Quarantine::default(),
+            link_use: LinkUse::default(),
             store: parts.store,
             store_calls: parts.store_calls,
             peers: parts.peers,
@@ -153,11 +157,14 @@
         self.bytes_per_request.load(Ordering::Relaxed)
     }
 
-    /// Takes the bytes of one request and its answer into the mean.
-    pub fn observe_bytes(&self, bytes: u64) {
+    /// Takes in the bytes of one request and its answer, which went to a region.
+    pub fn observe_bytes(&self, region: &RegionName, bytes: u64) {
         const MEAN_WEIGHT: u64 = 16;
         let mean = self.bytes_per_request();
         self.bytes_per_request.store((mean * (MEAN_WEIGHT - 1) + bytes) / MEAN_WEIGHT, Ordering::Relaxed);
+        if *region != self.settings.region {
+            self.link_use.add(bytes);
+        }
     }
 
     /// Counts a request as at work until the returned guard is dropped.
--- a/crates/burdock-node/src/once/handle.rs
+++ b/crates/burdock-node/src/once/handle.rs
@@ -122,11 +122,12 @@
         admit(node, name, outbound.deadline).await?;
     }
     reservation.started();
+    let sent_bytes = body.len() as u64;
     let running = run(node, outbound, RequestBody::Held(body)).await?;
-    collect(node, outbound, running).await
+    collect(node, outbound, running, sent_bytes).await
 }
 
-async fn collect(node: &Node, outbound: &Outbound, running: Running) -> Result<WholeAnswer> {
+async fn collect(node: &Node, outbound: &Outbound, running: Running, sent_bytes: u64) -> Result<WholeAnswer> {
     let Running { answered, permit, alone } = running;
     let (parts, body) = answered.resp.into_parts();
     let deadline = node.clock.instant(outbound.deadline);
@@ -145,6 +146,7 @@
         }
     };
     backend.outcome(true, node.clock.now());
+    node.observe_bytes(&backend.region, body.len() as u64 + sent_bytes);
     backend.pool.put(answered.connection);
     if alone {
         node.quarantine.cleared(outbound.fingerprint);
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -283,14 +283,19 @@
     /// Everything that ran on any backend server.
     pub async fn ran(&self) -> Vec<Ran> {
         let mut all = Vec::new();
-        for backend in &self.backends {
-            let answer =
-                self.send(backend.control, Method::GET, "/log", &[], String::new()).await.expect("a log");
-            all.extend(serde_json::from_slice::<Vec<Ran>>(&answer.body).expect("the log is JSON"));
+        for ix in 0..self.backends.len() {
+            all.extend(self.ran_on(ix).await);
         }
         all
     }
 
+    /// Everything that ran on one backend server.
+    pub async fn ran_on(&self, ix: usize) -> Vec<Ran> {
+        let control = self.backends[ix].control;
+        let answer = self.send(control, Method::GET, "/log", &[], String::new()).await.expect("a log");
+        serde_json::from_slice(&answer.body).expect("the log is JSON")
+    }
+
     /// Sends a request; `None` when no whole answer came.
     pub async fn send(
         &self,
