--- a/crates/burdock-decide/benches/policy/limits.rs
+++ b/crates/burdock-decide/benches/policy/limits.rs
@@ -157,7 +157,7 @@
     lost: impl Fn(usize) -> bool,
     messages: &mut u64,
 ) -> bool {
-    const MAX_ASKED: usize = 2;
+    const MAX_ASKED: usize = 3;
     let mut tried = vec![own];
     for _ in 0..MAX_ASKED {
         let Some(ix) = choose_lender(known, &tried, now) else {
--- a/crates/burdock-node/src/limits/borrow.rs
+++ b/crates/burdock-node/src/limits/borrow.rs
@@ -14,7 +14,7 @@
 use crate::observe::counters::Counter;
 
 /// Holders asked for one request.
-const MAX_ASKED: usize = 2;
+const MAX_ASKED: usize = 3;
 
 /// The longest wait for a holder in the own region.
 const LOCAL_LIMIT: Duration = Duration::from_millis(50);
