Do not isolate the fleet when the store goes down just after a change

Ruled out: dropping the announcement (the model check then finds a majority that works on by an old configuration).

--- a/crates/burdock-model/src/hash.rs
+++ b/crates/burdock-model/src/hash.rs
@@ -1,6 +1,7 @@
 //! Hashes that every instance computes alike.
 
 use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A stable 64-bit hash of some bytes under a seed.
@@ -50,6 +51,5 @@
 /// Whether two secrets are the same, in a time that does not depend on where they differ.
 #[must_use]
 pub fn same_secret(a: &str, b: &str) -> bool {
-    use subtle::ConstantTimeEq;
     sha256(a.as_bytes()).ct_eq(&sha256(b.as_bytes())).into()
 }
--- a/crates/burdock-node/src/admin/change.rs
+++ b/crates/burdock-node/src/admin/change.rs
@@ -91,8 +91,13 @@
     let new = edited(&old, wish)?;
     let id = ChangeId::new(&format!("{:016x}", rand::random::<u64>()))?;
     let announced = node.clock.now();
-    announce(node, &id).await?;
+    let result = announce(node, &id).await;
+    if let Err(e) = result {
+        withdraw(node, &id).await;
+        return Err(e);
+    }
     if node.clock.now().since(announced) >= CHANGE_BOUND / 2 {
+        withdraw(node, &id).await;
         return Err(Error::new(
             ErrorKind::Isolated,
             "announcing the change took too long; nothing was changed",
@@ -104,7 +109,12 @@
         by: wish.operator.to_owned(),
         path: wish.path.to_owned(),
     };
-    let head = commit(&node.store, &stored, &new, change).await?;
+    let result = commit(&node.store, &stored, &new, change).await;
+    // A change whose outcome is unknown stays announced: it may be in the store.
+    if result.as_ref().is_err_and(|e| e.kind != ErrorKind::ChangeUnknown) {
+        withdraw(node, &id).await;
+    }
+    let head = result?;
     let revision = head.head.revision;
     log::info!("audit: {} changed `{}` (change {id}, revision {revision})", wish.operator, wish.path);
     install::install_stored(node, head).await?;
@@ -164,7 +174,7 @@
             async move { node.peers.announce_change(&peer, id.to_string()).await }
         })
         .collect();
-    node.fleet.promise_change(node.clock.now());
+    node.fleet.promise_change(id, node.clock.now());
     let known = view.entries.len();
     let mut promised = 1;
     while promised * 2 <= known {
@@ -182,6 +192,17 @@
     Ok(())
 }
 
+// Who misses this finds the promise void when the store's state is known from late enough.
+async fn withdraw(node: &Arc<Node>, id: &ChangeId) {
+    node.fleet.settle_changes(|known| known == id, node.clock.now());
+    let view = node.fleet.view();
+    let tell = view.entries.iter().filter(|e| e.life != node.life).map(|entry| {
+        let peer = PeerAddress { id: entry.life.instance.clone(), address: entry.peer_address };
+        async move { node.peers.withdraw_change(&peer, id.to_string()).await }
+    });
+    let _missed = futures::future::join_all(tell).await;
+}
+
 fn collect_in_background(node: &Arc<Node>) {
     let store = node.store.clone();
     tokio::spawn(async move {
--- a/crates/burdock-node/src/demo.rs
+++ b/crates/burdock-node/src/demo.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use burdock_decide::membership::Standing;
 use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::ids::{ChangeId, InstanceId, RegionName, Revision, ZoneName};
 use burdock_model::manifest::Change;
@@ -278,7 +279,6 @@
 }
 
 fn is_ready(running: &RunningNode, instances: usize) -> bool {
-    use burdock_decide::membership::Standing;
     let node = &running.node;
     let view = node.fleet.view();
     let alive = view.entries.iter().filter(|e| e.standing == Standing::Alive).count();
--- a/crates/burdock-node/src/entry/answer.rs
+++ b/crates/burdock-node/src/entry/answer.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll};
 
 use burdock_decide::headers::to_caller;
-use burdock_model::error::{Error, Outcome};
+use burdock_model::error::{Error, ErrorKind, Outcome};
 use burdock_wire::messages::WholeAnswer;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
@@ -61,7 +61,6 @@
 /// The answer to a refused request.
 #[must_use]
 pub fn refusal(node: &Node, e: &Error, request_id: HeaderValue) -> Response<EntryBody> {
-    use burdock_model::error::ErrorKind;
     let answer = e.kind.answer();
     node.counters.add(match answer.outcome {
         Outcome::NotRun => Counter::RefusedNotRun,
--- a/crates/burdock-node/src/fleet/exchange.rs
+++ b/crates/burdock-node/src/fleet/exchange.rs
@@ -1,6 +1,7 @@
 //! Rounds of exchange with other instances.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use burdock_decide::membership::{
     MAX_DIGEST, MAX_WATCHER_DIGEST, Member, Source, partners, round_time, watcher_digest,
@@ -9,7 +10,6 @@
 use burdock_model::error::Result;
 use burdock_model::fleet::{BackendLoad, Split};
 use burdock_wire::messages::{Exchange, PeerAddress};
-use std::time::Duration;
 
 use crate::fleet::install;
 use crate::forward::backends::Report;
--- a/crates/burdock-node/src/fleet/mod.rs
+++ b/crates/burdock-node/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use burdock_decide::membership::{Member, Source, Standing, digest, id_hash, observe, standing};
 use burdock_decide::time::Time;
 use burdock_model::fleet::{Heartbeat, Succession};
-use burdock_model::ids::{InstanceId, Life, RegionName, Revision, ZoneName};
+use burdock_model::ids::{ChangeId, InstanceId, Life, RegionName, Revision, ZoneName};
 use burdock_platform::store::ListedInstance;
 use parking_lot::Mutex;
 
@@ -57,7 +57,7 @@
     addresses: HashMap<InstanceId, Addresses>,
     loads: HashMap<InstanceId, u32>,
     successions: Vec<(Succession, Time)>,
-    own_change: Option<Time>,
+    promises: Vec<(ChangeId, Time)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -118,7 +118,7 @@
             addresses: HashMap::from([(own.instance.clone(), addresses)]),
             loads: HashMap::new(),
             successions: Vec::new(),
-            own_change: None,
+            promises: Vec::new(),
         };
         let fleet = Self {
             own: own.clone(),
@@ -160,9 +160,15 @@
         self.contact.store_confirmed.fetch_max(at.0, Ordering::AcqRel);
     }
 
-    /// Promises to count contact as lost until the change announced now is settled.
-    pub fn promise_change(&self, now: Time) {
-        self.state.lock().own_change = Some(now);
+    /// Promises to count contact without the store as lost until the change announced now is settled.
+    pub fn promise_change(&self, id: &ChangeId, now: Time) {
+        self.state.lock().promises.push((id.clone(), now));
+        self.refresh(now);
+    }
+
+    /// Drops the promises for changes that are settled: in force here, or certainly not written.
+    pub fn settle_changes(&self, is_settled: impl Fn(&ChangeId) -> bool, now: Time) {
+        self.state.lock().promises.retain(|(id, _)| !is_settled(id));
         self.refresh(now);
     }
 
@@ -201,7 +207,9 @@
     /// Counts up this instance's own heartbeat.
     pub fn beat(&self, revision: Revision, leaving: bool, now: Time) {
         let mut state = self.state.lock();
-        let pending = state.own_change_pending(self.store_confirmed());
+        let confirmed = self.store_confirmed();
+        state.promises.retain(|(_, at)| confirmed.is_none_or(|c| c <= *at + CHANGE_BOUND));
+        let pending = state.own_change_pending(confirmed);
         let own = state.members.iter_mut().find(|m| m.id == self.own.instance);
         if let Some(own) = own {
             own.heartbeat += 1;
@@ -367,10 +375,10 @@
         told || self.own_change_pending(store_confirmed)
     }
 
-    // It is settled once the store's state is known from a time by which it must have been written.
+    // A promise is void once the store's state is known from a time by which the change must have been written.
     fn own_change_pending(&self, store_confirmed: Option<Time>) -> bool {
         let settled = |at: Time| store_confirmed.is_some_and(|c| c > at + CHANGE_BOUND);
-        self.own_change.is_some_and(|at| !settled(at))
+        self.promises.iter().any(|(_, at)| !settled(*at))
     }
 
     fn view(&self, now: Time) -> FleetView {
--- a/crates/burdock-node/src/forward/quarantine.rs
+++ b/crates/burdock-node/src/forward/quarantine.rs
@@ -1,12 +1,13 @@
 //! What is held against requests that crash backend servers.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use burdock_decide::quarantine::{Strikes, Verdict};
 use burdock_decide::time::Time;
 use burdock_model::fleet::Strike;
 use burdock_model::ids::BackendId;
-use std::time::Duration;
 
 use crate::shards::Sharded;
 
@@ -17,14 +18,13 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     strikes: Sharded<HashMap<u64, (Strikes, Time)>>,
-    any: std::sync::atomic::AtomicBool,
+    any: AtomicBool,
 }
 
 impl Quarantine {
     /// How a request is to be run.
     #[must_use]
     pub fn verdict(&self, fingerprint: u64, now: Time) -> Verdict {
-        use std::sync::atomic::Ordering;
         if !self.any.load(Ordering::Relaxed) {
             return Verdict::Run;
         }
@@ -33,7 +33,7 @@
 
     /// Notes a crash. Returns whether it was news.
     pub fn crashed(&self, fingerprint: u64, backend: &BackendId, at: Time) -> bool {
-        self.any.store(true, std::sync::atomic::Ordering::Relaxed);
+        self.any.store(true, Ordering::Relaxed);
         let mut shard = self.strikes.lock(fingerprint);
         let (strikes, last) = shard.entry(fingerprint).or_default();
         *last = (*last).max(at);
--- a/crates/burdock-node/src/forward/run.rs
+++ b/crates/burdock-node/src/forward/run.rs
@@ -5,7 +5,7 @@
 
 use burdock_decide::pick::{BackendView, pick};
 use burdock_decide::quarantine::Verdict;
-use burdock_decide::retry::{RetryView, may_retry};
+use burdock_decide::retry::{Progress, RetryView, may_retry};
 use burdock_decide::shift::draw_region;
 use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::hash::stable;
@@ -194,7 +194,6 @@
 }
 
 fn note_failure(node: &Node, outbound: &Outbound, backend: &BackendState, failed: &Failed) {
-    use burdock_decide::retry::Progress;
     let now = node.clock.now();
     // A shed answer is a sign of load, not of ill health; a slow one has used up the caller's time.
     let ill = match failed.progress {
--- a/crates/burdock-node/src/once/mod.rs
+++ b/crates/burdock-node/src/once/mod.rs
@@ -11,12 +11,13 @@
 
 use burdock_decide::once::{Attempt, OnceKey, Progress, Record, attempt};
 use burdock_decide::time::Time;
-use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::error::{Error, ErrorKind, Outcome, Result};
 use burdock_model::ids::Life;
 use burdock_wire::messages::{OnceRecord, WholeAnswer};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use crate::node::Node;
 use crate::shards::Sharded;
 
 /// How long the outcome for a key is remembered.
@@ -57,7 +58,7 @@
 /// The right to run a request for a key. Dropped without a report it stands for an unknown outcome.
 #[derive(Debug)]
 pub struct Reservation {
-    table: Arc<crate::node::Node>,
+    node: Arc<Node>,
     key: OnceKey,
     reported: bool,
 }
@@ -68,7 +69,7 @@
     /// # Errors
     /// [`ErrorKind::IdempotencyKeyReused`], [`ErrorKind::OwnerGone`] for an unknown outcome, and
     /// [`ErrorKind::Overloaded`] when the table is full.
-    pub fn begin(node: &Arc<crate::node::Node>, key: OnceKey, fingerprint: u64) -> Result<Begun> {
+    pub fn begin(node: &Arc<Node>, key: OnceKey, fingerprint: u64) -> Result<Begun> {
         let table = &node.once;
         let mut shard = table.shards.lock(shard_of(&key));
         let held = shard.get(&key);
@@ -85,7 +86,7 @@
         table.keys.fetch_add(1, Ordering::Relaxed);
         let record = Record { fingerprint, progress: Progress::Reserved, began: node.clock.now() };
         shard.insert(key, Held { record, done: Arc::default() });
-        Ok(Begun::Run(Reservation { table: Arc::clone(node), key, reported: false }))
+        Ok(Begun::Run(Reservation { node: Arc::clone(node), key, reported: false }))
     }
 
     /// Looks at a key of an instance that left. Such keys are never run here.
@@ -209,7 +210,7 @@
     /// Reports how the request ended. Returns the answer as it is kept.
     pub fn report(mut self, result: Result<WholeAnswer>) -> Result<Arc<WholeAnswer>> {
         self.reported = true;
-        let table = &self.table.once;
+        let table = &self.node.once;
         match result {
             Ok(answer) => {
                 let answer = Arc::new(answer);
@@ -218,8 +219,8 @@
             }
             Err(e) => {
                 match e.kind.answer().outcome {
-                    burdock_model::error::Outcome::NotRun => table.free(self.key),
-                    burdock_model::error::Outcome::Unknown => table.set(self.key, Progress::Unknown),
+                    Outcome::NotRun => table.free(self.key),
+                    Outcome::Unknown => table.set(self.key, Progress::Unknown),
                 }
                 Err(e)
             }
@@ -228,14 +229,14 @@
 
     /// Notes that the request may be passed on from now.
     pub fn started(&self) {
-        self.table.once.set(self.key, Progress::Started);
+        self.node.once.set(self.key, Progress::Started);
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         if !self.reported {
-            self.table.once.set(self.key, Progress::Unknown);
+            self.node.once.set(self.key, Progress::Unknown);
         }
     }
 }
--- a/crates/burdock-node/src/peers.rs
+++ b/crates/burdock-node/src/peers.rs
@@ -1,18 +1,18 @@
 //! Answering other instances.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use burdock_decide::once::OnceKey;
 use burdock_decide::time::Time;
 use burdock_model::error::{Error, ErrorKind, Result};
-use burdock_model::ids::OrganisationName;
+use burdock_model::ids::{ChangeId, OrganisationName};
 use burdock_model::snapshot::Snapshot;
 use burdock_wire::messages::{Hello, Loan, RelayedRequest, WholeAnswer};
 use burdock_wire::server::{Handler, Handlers};
 use bytes::Bytes;
 use futures::FutureExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use std::time::Duration;
 
 use crate::fleet::{exchange, install};
 use crate::forward::outbound::Outbound;
@@ -39,10 +39,14 @@
             install::reach_from(&node, revision, &sender).await;
             Ok(())
         }),
-        announce_change: on(node, async |node, _change| {
-            node.fleet.promise_change(node.clock.now());
+        announce_change: on(node, async |node, change: String| {
+            node.fleet.promise_change(&ChangeId::new(&change)?, node.clock.now());
             Ok(true)
         }),
+        withdraw_change: on(node, async |node, change: String| {
+            node.fleet.settle_changes(|id| id.as_str() == change, node.clock.now());
+            Ok(())
+        }),
         shares: on(node, async |node, ()| Ok(node.limits.records.all())),
         acting_shares: on(node, async |node, bucket| Ok(acting_answer(&node, bucket))),
         lend: on(node, async |node, (organisation, wanted): (String, u32)| {
--- /dev/null
+++ b/crates/burdock-node/tests/outage.rs
@@ -0,0 +1,56 @@
+//! A store outage that begins just after, or in the middle of, a configuration change.
+
+use std::time::Duration;
+
+use burdock_decide::connectivity::{CONNECTED_BOUND, Connectivity, ISOLATION_GRACE};
+use burdock_model::treepath::Edit;
+use burdock_node::admin::change::{Wish, make};
+use burdock_node::demo::DemoSettings;
+use burdock_standin::store::Fault;
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Longer than an instance that lost contact serves.
+const LONG: Duration = CONNECTED_BOUND.saturating_add(ISOLATION_GRACE).saturating_add(Duration::from_secs(1));
+
+fn wish(retries: u8) -> Wish<'static> {
+    Wish {
+        operator: "tester",
+        path: "settings/retries",
+        edit: Edit::Put(json!(retries)),
+        if_match: None,
+        rebase: false,
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_right_after_a_change_does_not_isolate_the_fleet() {
+    let demo = DemoSettings::default().instances(3).backends(3).start().await.unwrap();
+    make(&demo.nodes[0].node, &wish(1)).await.unwrap();
+    demo.store.inject(Fault { down_ms: Some(600_000), ..Fault::default() });
+    tokio::time::sleep(LONG).await;
+    for running in &demo.nodes {
+        let node = &running.node;
+        expect_that!(node.in_force.load().snapshot.tree.settings.retries, some(eq(1)));
+        expect_that!(node.fleet.contact(node.clock.now()).connectivity, eq(Connectivity::StoreOutage));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_was_certainly_not_written_leaves_no_promise_behind() {
+    let demo = DemoSettings::default().instances(3).backends(3).start().await.unwrap();
+    let (a, b) = (&demo.nodes[0].node, &demo.nodes[1].node);
+    // Both read the same head; one of the two writes is refused by the store.
+    demo.store.inject(Fault { slow_ms: Some(50), ..Fault::default() });
+    let (first, second) = (wish(0), wish(1));
+    let (first, second) = tokio::join!(make(a, &first), make(b, &second));
+    expect_that!([first.is_ok(), second.is_ok()].iter().filter(|ok| **ok).count(), le(1));
+    demo.store.inject(Fault { slow_ms: Some(0), down_ms: Some(600_000), ..Fault::default() });
+    tokio::time::sleep(LONG).await;
+    for running in &demo.nodes {
+        let node = &running.node;
+        expect_that!(node.fleet.contact(node.clock.now()).connectivity, eq(Connectivity::StoreOutage));
+    }
+}
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -150,4 +150,6 @@
   lend @7 (organisation :Text, wanted :UInt32) -> (loan :Loan);
   relay @8 (request :RelayedRequest) -> (answer :RelayedAnswer);
   handOver @9 (left :List(Life), records :List(OnceRecord)) -> (taken :Bool);
+  # An announced change was certainly not written: the promise is void.
+  withdrawChange @10 (change :Text) -> ();
 }
--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -134,6 +134,19 @@
         .await
     }
 
+    /// Tells that an announced change was certainly not written.
+    ///
+    /// # Errors
+    /// When the other instance does not answer in time.
+    pub async fn withdraw_change(&self, to: &PeerAddress, change: String) -> Result<(), PeerError> {
+        self.call(to, CALL_LIMIT, move |client| async move {
+            let mut req = client.withdraw_change_request();
+            req.get().set_change(&change);
+            req.send().promise.await.map(|_| ())
+        })
+        .await
+    }
+
     /// Reads all share records from another instance.
     ///
     /// # Errors
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -39,6 +39,8 @@
     pub head_changed: Handler<(Revision, InstanceId), ()>,
     /// A change is about to be written.
     pub announce_change: Handler<String, bool>,
+    /// An announced change was certainly not written.
+    pub withdraw_change: Handler<String, ()>,
     /// All share records.
     pub shares: Handler<(), Vec<ShareBucket>>,
     /// The versions acted on in one bucket, as JSON.
@@ -169,6 +171,15 @@
         Ok(())
     }
 
+    async fn withdraw_change(
+        self: Rc<Self>,
+        params: peer::WithdrawChangeParams,
+        _: peer::WithdrawChangeResults,
+    ) -> capnp::Result<()> {
+        let change = convert::string_of(params.get()?.get_change()?)?;
+        self.run(&self.handlers.withdraw_change, change).await
+    }
+
     async fn shares(
         self: Rc<Self>,
         _: peer::SharesParams,
--- a/crates/burdock-wire/tests/sessions.rs
+++ b/crates/burdock-wire/tests/sessions.rs
@@ -66,6 +66,7 @@
         configuration: never(),
         head_changed: never(),
         announce_change: never(),
+        withdraw_change: never(),
         shares: never(),
         acting_shares: never(),
         lend: Arc::new(|(_, wanted)| {
