Test that bad client blocks leave the running table in force

Cause: the refusals of the block table were tested, their effect on a running instance and the limit were not. Change: a limit can be given to the table's reader, for the test; an entry test over the administration API.

--- a/crates/burdock-model/src/blocks.rs
+++ b/crates/burdock-model/src/blocks.rs
@@ -46,9 +46,17 @@
     /// [`ErrorKind::InvalidTree`] for an empty chunk, a malformed line, or the same block given to
     /// two regions; [`ErrorKind::TooLarge`] for more than [`MAX_BLOCKS`] blocks.
     pub fn parse<'a>(chunks: impl IntoIterator<Item = &'a str>) -> Result<Self> {
+        Self::parse_up_to(MAX_BLOCKS, chunks)
+    }
+
+    /// As [`BlockTable::parse`], with at most this many blocks.
+    ///
+    /// # Errors
+    /// As [`BlockTable::parse`].
+    pub fn parse_up_to<'a>(most: usize, chunks: impl IntoIterator<Item = &'a str>) -> Result<Self> {
         let mut table = Self::default();
         for (ix, chunk) in chunks.into_iter().enumerate() {
-            table.add_chunk(chunk).map_err(|e| e.at(format!("chunk {ix}")))?;
+            table.add_chunk(chunk, most).map_err(|e| e.at(format!("chunk {ix}")))?;
         }
         Ok(table)
     }
@@ -72,11 +80,11 @@
         self.len == 0
     }
 
-    fn add_chunk(&mut self, chunk: &str) -> Result<()> {
+    fn add_chunk(&mut self, chunk: &str, most: usize) -> Result<()> {
         let lines = chunk.lines().enumerate().map(|(ix, l)| (ix + 1, l.trim()));
         let before = self.len;
         for (number, line) in lines.filter(|(_, l)| !l.is_empty() && !l.starts_with('#')) {
-            self.add_line(line).map_err(|e| e.at(format!("line {number}")))?;
+            self.add_line(line, most).map_err(|e| e.at(format!("line {number}")))?;
         }
         if self.len == before {
             return Err(
@@ -86,7 +94,7 @@
         Ok(())
     }
 
-    fn add_line(&mut self, line: &str) -> Result<()> {
+    fn add_line(&mut self, line: &str, most: usize) -> Result<()> {
         let malformed = || {
             Error::new(ErrorKind::InvalidTree, format!("found `{line}`"))
                 .hint("write `prefix region`, such as `10.0.0.0/8 riga`")
@@ -94,8 +102,8 @@
         let (prefix, region) = line.split_once(char::is_whitespace).ok_or_else(malformed)?;
         let prefix: IpNetwork = prefix.parse().map_err(|_unparsed| malformed())?;
         let region = self.region_ix(region.trim())?;
-        if self.len == MAX_BLOCKS {
-            return Err(Error::new(ErrorKind::TooLarge, format!("more than {MAX_BLOCKS} blocks"))
+        if self.len == most {
+            return Err(Error::new(ErrorKind::TooLarge, format!("more than {most} blocks"))
                 .hint("merge neighbouring blocks of one region"));
         }
         match self.table.insert(prefix, region) {
--- a/crates/burdock-model/tests/tree.rs
+++ b/crates/burdock-model/tests/tree.rs
@@ -118,6 +118,9 @@
     expect_that!(refused(""), contains_substring("found no block"));
     expect_that!(refused("10.0.0.0/8 riga\n10.0.0.0/99 riga\n"), contains_substring("line 2"));
     expect_that!(refused("10.0.0.0/8"), contains_substring("prefix region"));
+    let many = BlockTable::parse_up_to(1, ["10.0.0.0/8 riga\n11.0.0.0/8 riga\n"]).unwrap_err();
+    expect_that!(many.kind, eq(ErrorKind::TooLarge));
+    expect_that!(many.to_string(), contains_substring("merge neighbouring blocks"));
     let overlap = refused("10.0.0.0/8 riga\n10.0.0.0/8 jelgava\n");
     expect_that!(overlap, contains_substring("`riga` and to `jelgava`"));
 }
--- a/crates/burdock-node/tests/entry.rs
+++ b/crates/burdock-node/tests/entry.rs
@@ -275,3 +275,27 @@
     expect_that!(call(&system.demo.token, Some("\"0000\"")).await.unwrap().status().as_u16(), eq(412));
     expect_that!(call(&system.demo.token, None).await.unwrap().status().as_u16(), eq(200));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_client_blocks_leave_the_running_table_in_force() {
+    let system = system().await;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let put = |text: &str| {
+        let req = Request::builder()
+            .method("PUT")
+            .uri(format!("http://{}/v1/blocks", system.admin))
+            .header("authorization", format!("Bearer {}", system.demo.token))
+            .header("content-type", "text/plain")
+            .body(Full::new(Bytes::from(text.to_owned())))
+            .expect("a request");
+        client.request(req)
+    };
+    let blocks = || system.demo.nodes[0].node.in_force.load().snapshot.blocks.len();
+    expect_that!(put("10.0.0.0/8 riga\n2001:db8::/32 jelgava\n").await.unwrap().status().as_u16(), eq(200));
+    expect_that!(blocks(), eq(2));
+    for bad in ["", "10.0.0.0/8", "10.0.0.0/99 riga", "10.0.0.0/8 riga\n10.0.0.0/8 jelgava\n"] {
+        expect_that!(put(bad).await.unwrap().status().as_u16(), eq(422), "{bad}");
+        expect_that!(blocks(), eq(2));
+    }
+}
