Cut instances off from each other and from the store in a test with processes

Cause: partitions were covered by the model check only. Change: TCP links in the test harness that can be cut, between instances and to the store; a test in which nobody reaches anybody and one instance reaches the store. Conclusion: isolated instances refuse as not run, no change is accepted without a majority, all serve again when joined.

--- a/crates/burdock-node/tests/processes.rs
+++ b/crates/burdock-node/tests/processes.rs
@@ -176,6 +176,42 @@
     expect_that!(runs, eq(1));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_lose_each_other_refuse_and_nobody_accepts_a_change() {
+    let cluster = Cluster::start(3, 3).await;
+    let key = cluster.key(ORGANISATION).to_owned();
+    let headers = [("x-api-key", key.as_str())];
+    // Nobody reaches anybody; only the first reaches the store.
+    cluster.instances.iter().for_each(|i| i.from_peers.cut());
+    cluster.instances[1..].iter().for_each(|i| i.to_store.cut());
+    for ix in 1..3 {
+        cluster
+            .wait_for(async || {
+                let answer = cluster.get(ix, "/quotes/1", &headers).await.unwrap();
+                answer.status == 503 && answer.outcome() == "not-run"
+            })
+            .await;
+    }
+    expect_that!(cluster.get(0, "/quotes/1", &headers).await.unwrap().status, eq(200));
+    let change = cluster.admin(0, Method::PATCH, "/v1/tree/settings", json!({"retries": 0})).await.unwrap();
+    expect_that!((change.status, change.outcome()), eq((503, "not-run")));
+
+    cluster.instances.iter().for_each(|i| {
+        i.from_peers.join();
+        i.to_store.join();
+    });
+    for ix in 0..3 {
+        cluster.wait_for(async || cluster.get(ix, "/quotes/1", &headers).await.unwrap().status == 200).await;
+    }
+    let path = "/v1/tree/settings";
+    cluster
+        .wait_for(async || {
+            cluster.admin(0, Method::PATCH, path, json!({"retries": 0})).await.unwrap().status == 200
+        })
+        .await;
+}
+
 /// What callers were told against what backend servers ran.
 async fn assert_told_the_truth(cluster: &Cluster, answers: &BTreeMap<String, Vec<String>>) {
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod link;
+
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -20,6 +22,8 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
+use link::Link;
+
 /// The longest that anything is waited for before a test fails.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -43,6 +47,9 @@
 
 pub struct Instance {
     pub id: String,
+    /// Links from others to it, and from it to the store.
+    pub from_peers: Link,
+    pub to_store: Link,
     pub callers: SocketAddr,
     pub peers: SocketAddr,
     pub admin: SocketAddr,
@@ -145,7 +152,11 @@
             tree_file.to_str().expect("utf-8"),
         ]);
         let store = address(&store_process.first_line()["listen"]);
-        let instances = (0..instances).map(|ix| Instance::prepare(ix, store, folder.path())).collect();
+        let mut prepared = Vec::new();
+        for ix in 0..instances {
+            prepared.push(Instance::prepare(ix, store, folder.path()).await);
+        }
+        let instances = prepared;
         let backends = backends.into_iter().map(|(_, backend)| backend).collect();
         let mut cluster = Self { store, instances, backends, keys, http, store_process, folder };
         cluster.list_instances().await;
@@ -321,22 +332,22 @@
 }
 
 impl Instance {
-    fn prepare(ix: usize, store: SocketAddr, folder: &std::path::Path) -> Self {
+    async fn prepare(ix: usize, store: SocketAddr, folder: &std::path::Path) -> Self {
         let (region, zone) = place(ix);
         let id = format!("{region}-{}", ix / sample::REGIONS.len() + 1);
         let (callers, peers, admin) = (free_address(), free_address(), free_address());
+        let (from_peers, to_store) = (Link::to(peers).await, Link::to(store).await);
         let settings = json!({
             "instance": id, "region": region, "zone": zone,
             "listen": {"callers": callers, "peers": peers, "admin": admin},
-            "store": {"address": store, "time_limit": "500ms", "calls_per_second": 200},
+            "store": {"address": to_store.address, "time_limit": "500ms", "calls_per_second": 200},
             "operators": {"tester": TOKEN},
             "threads": {"workers": 2, "peers": 1},
         });
-        let listed =
-            json!({"id": id, "address": callers, "peer_address": peers, "region": region, "zone": zone});
+        let listed = json!({"id": id, "address": callers, "peer_address": from_peers.address, "region": region, "zone": zone});
         let file = folder.join(format!("{id}.jsonc"));
         std::fs::write(&file, settings.to_string()).expect("settings are written");
-        Self { id, callers, peers, admin, process: None, settings: file, listed }
+        Self { id, from_peers, to_store, callers, peers, admin, process: None, settings: file, listed }
     }
 }
 
