Test a hand-over twice in a row

Cause: the successor of a successor was followed in code only. Change: a test over three instances of which two leave one after the other.

--- /dev/null
+++ b/crates/burdock-node/tests/hand_over.rs
@@ -0,0 +1,53 @@
+//! A table of idempotency keys that is handed over twice in a row.
+
+use std::time::Duration;
+
+use burdock_node::demo::{Demo, DemoSettings};
+use burdock_node::shutdown::drain;
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+async fn command(demo: &Demo, ix: usize, key: &str, body: &str) -> (u16, String) {
+    let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+    let req = Request::builder()
+        .method("POST")
+        .uri(format!("http://{}/valves/7", demo.nodes[ix].node.settings.listen.callers))
+        .header("x-api-key", &demo.keys[0].key)
+        .header("idempotency-key", key)
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("a request");
+    let resp = client.request(req).await.expect("an answer");
+    let status = resp.status().as_u16();
+    let body = resp.into_body().collect().await.expect("a body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_is_answered_by_the_successor_of_a_successor() {
+    let mut demo = DemoSettings::default().instances(3).backends(3).start().await.unwrap();
+    let named = format!("{}:irrigate", demo.nodes[0].node.life);
+    let first = command(&demo, 0, &named, "open").await;
+    let claimed = command(&demo, 0, "claimed", "open").await;
+    expect_that!((first.0, claimed.0), eq((200, 200)));
+
+    for _ in 0..2 {
+        let leaving = demo.nodes.remove(0);
+        drain(&leaving.node).await;
+        leaving.stop().await;
+        // A round of exchange tells the others.
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+    }
+    expect_that!(command(&demo, 0, &named, "open").await, eq(&first));
+    expect_that!(command(&demo, 0, "claimed", "open").await, eq(&claimed));
+    expect_that!(command(&demo, 0, &named, "close").await.0, eq(409));
+    // A key of an owner that left, which nobody has seen, is never run by a successor.
+    let unseen = format!("{}:unseen", named.split(':').next().unwrap());
+    expect_that!(command(&demo, 0, &unseen, "open").await.0, eq(503));
+    let runs = demo.backends.iter().flat_map(|b| b.standin.log()).filter(|r| r.path == "/valves/7").count();
+    expect_that!(runs, eq(2));
+}
