Say that an outcome is unknown once any attempt may have run

Cause: reading the forwarder again: after a first attempt that may have run, a refusal of a later one (no backend server left, not written, shed) was passed on as not run. The fault matrix let it pass, since it held "not run" only against all attempts of a caller together. The forwarder keeps the first failure that may have run and answers with that; so do two copies of a hedged request. Ruled out as a sign that the matrix can't fail: with idempotency keys ignored in a scratch copy, its cells fail.

--- a/crates/burdock-node/src/forward/run.rs
+++ b/crates/burdock-node/src/forward/run.rs
@@ -81,13 +81,15 @@
     earn_budget(node, outbound);
     let mut tried: Vec<Arc<BackendState>> = Vec::new();
     let mut body = Some(body);
+    // What to say once an attempt may have run: whatever stops later attempts, "not run" is no longer true.
+    let mut may_have_run: Option<Error> = None;
     loop {
         let copy = body.as_ref().and_then(RequestBody::copy);
         let Some(sent) = body.take() else {
             return Err(Error::from(ErrorKind::Internal));
         };
         let Some(backend) = choose(node, outbound, service, &tried, alone) else {
-            return Err(none_left(service));
+            return Err(may_have_run.unwrap_or_else(|| none_left(service)));
         };
         tried.push(Arc::clone(&backend));
         let result = hedged(node, outbound, service, &mut tried, &backend, sent, alone).await;
@@ -96,6 +98,10 @@
             Err(failed) => failed,
         };
         note_failure(node, outbound, &backend, &failed);
+        if !failed.progress.proves_not_run() {
+            may_have_run.get_or_insert_with(|| failed.error.clone());
+        }
+        let error = may_have_run.clone().unwrap_or(failed.error);
         body = failed.body.or(copy);
         let retry = RetryView {
             progress: failed.progress,
@@ -108,11 +114,11 @@
             least_time: LEAST_ATTEMPT,
         };
         if !may_retry(&retry) {
-            return Err(failed.error);
+            return Err(error);
         }
         if !spend_budget(node, outbound) {
             node.counters.add(Counter::RetryBudgetSpent);
-            return Err(failed.error);
+            return Err(error);
         }
         node.counters.add(Counter::Retries);
     }
@@ -148,8 +154,23 @@
     let other = attempt(node, outbound, &second, copy, alone);
     tokio::pin!(other);
     tokio::select! {
-        done = &mut first => if done.is_ok() { done } else { other.await },
-        done = &mut other => if done.is_ok() { done } else { first.await },
+        done = &mut first => or_else(done, other).await,
+        done = &mut other => or_else(done, first).await,
+    }
+}
+
+// The answer of either copy. Where both fail, the failure that says more: the one that may have run.
+async fn or_else(
+    done: std::result::Result<Answered, Failed>,
+    other: impl Future<Output = std::result::Result<Answered, Failed>>,
+) -> std::result::Result<Answered, Failed> {
+    let Err(failed) = done else {
+        return done;
+    };
+    match other.await {
+        Err(second) if failed.progress.proves_not_run() => Err(second),
+        Err(_) => Err(failed),
+        answered => answered,
     }
 }
 
--- a/crates/burdock-node/tests/faults.rs
+++ b/crates/burdock-node/tests/faults.rs
@@ -159,15 +159,33 @@
     let mut system = System::start().await;
     let path = if cell.repeatable { "/quotes/cell" } else { "/valves/cell" };
     let mut told = Vec::new();
+    let mut lies = Vec::new();
+    // A "not run" is held against what began to run since its attempt was sent.
+    let mut note = |system: &System, before: usize, answer: Option<Told>| {
+        let now = system.runs(path);
+        if answer.as_ref().is_some_and(|t| t.outcome == "not-run") && now > before {
+            lies.push(format!("told that it did not run though it did: {answer:?}"));
+        }
+        told.extend(answer);
+    };
     system.inject(cell, Step::BeforeTheRequest).await;
     let first = system.spawn_request(0, path, cell.repeatable);
     tokio::time::sleep(INTO_WORK).await;
     system.inject(cell, Step::WhileItRuns).await;
-    told.extend(first.await.ok().flatten());
+    let answer = first.await.ok().flatten();
+    note(&system, 0, answer);
     system.inject(cell, Step::BeforeTheResend).await;
-    told.extend(system.spawn_request(1, path, cell.repeatable).await.ok().flatten());
+    let before = system.runs(path);
+    let answer = system.spawn_request(1, path, cell.repeatable).await.ok().flatten();
+    note(&system, before, answer);
     system.heal();
-    told.extend(system.spawn_request(1, path, cell.repeatable).await.ok().flatten());
+    let before = system.runs(path);
+    let answer = system.spawn_request(1, path, cell.repeatable).await.ok().flatten();
+    note(&system, before, answer);
+    if !lies.is_empty() {
+        system.demo.stop().await;
+        return Err(lies.join("; "));
+    }
     let verdict = judge(cell, &told, system.runs(path)).and(system.serves_again().await);
     system.demo.stop().await;
     verdict
