Keep share records of organisations that a keeper does not know

Cause: found in review: a keeper rewrote a bucket with the organisations of its own configuration only. With an older configuration than the keeper before it, it dropped the record of a new organisation, whose shares would then begin anew without their holders' leave: more than the whole could be given out. Change: a write starts from all records held.

--- a/crates/burdock-node/src/limits/keeper.rs
+++ b/crates/burdock-node/src/limits/keeper.rs
@@ -10,6 +10,7 @@
 use burdock_decide::connectivity::takeover_wait;
 use burdock_decide::membership::Standing;
 use burdock_decide::shares::{HolderView, KeeperView, ShareRecord, Step, assigned, even_split, next_step};
+use burdock_decide::time::Time;
 use burdock_model::error::Result;
 use burdock_model::hash::ranked;
 use burdock_model::ids::{Life, OrganisationName};
@@ -77,29 +78,21 @@
     confirmed: &Confirmed,
 ) -> Result<bool> {
     let version = node.limits.records.version(bucket);
-    let mut records: BTreeMap<OrganisationName, ShareRecord> = BTreeMap::new();
-    let mut changed = false;
-    for organisation in organisations {
-        let (record, since) = node.limits.records.known(&organisation.name).unwrap_or_default();
+    let held = node.limits.records.bucket(bucket);
+    let step = |organisation: &Organisation, record: &ShareRecord, since: Time| {
         let keeper = KeeperView {
-            record: &record,
+            record,
             known_for: node.clock.now().since(since),
             want: &wanted(organisation, view),
             takeover_wait: takeover_wait(view.entries.len()),
         };
-        let next = match next_step(&keeper, |life| holder_view(node, confirmed, life, &organisation.name)) {
-            Step::Settled | Step::Wait => record,
-            Step::Write(next) => {
-                changed = true;
-                next
-            }
-        };
-        records.insert(organisation.name.clone(), next);
-    }
+        next_step(&keeper, |life| holder_view(node, confirmed, life, &organisation.name))
+    };
+    let next = next_records(held, organisations, step);
     // Contact may have been lost while holders were asked.
-    if !changed || !node.fleet.may_take_over(node.clock.now()) {
+    let Some(records) = next.filter(|_| node.fleet.may_take_over(node.clock.now())) else {
         return Ok(false);
-    }
+    };
     let text = records::write(&records);
     let version = node.store.write_if(&key_of(bucket), &text, version).await?;
     node.counters.add(Counter::ShareWrites);
@@ -108,6 +101,27 @@
     Ok(true)
 }
 
+/// The records of a bucket after the next step of each organisation; `None` when nothing changes.
+///
+/// Records of organisations that this instance does not know are kept: another instance may have a newer
+/// configuration, and a record that were lost would begin anew without its holders' leave.
+pub fn next_records(
+    held: BTreeMap<OrganisationName, (ShareRecord, Time)>,
+    organisations: &[&Organisation],
+    step: impl Fn(&Organisation, &ShareRecord, Time) -> Step,
+) -> Option<BTreeMap<OrganisationName, ShareRecord>> {
+    let mut changed = false;
+    let mut records: BTreeMap<OrganisationName, (ShareRecord, Time)> = held;
+    for organisation in organisations {
+        let (record, since) = records.entry(organisation.name.clone()).or_default();
+        if let Step::Write(next) = step(organisation, record, *since) {
+            *record = next;
+            changed = true;
+        }
+    }
+    changed.then(|| records.into_iter().map(|(name, (record, _))| (name, record)).collect())
+}
+
 // The split that should be: an even one over the instances assigned to the organisation.
 fn wanted(organisation: &Organisation, view: &FleetView) -> BTreeMap<Life, u64> {
     let alive: Vec<&Entry> = view.entries.iter().filter(|e| e.standing == Standing::Alive).collect();
--- a/crates/burdock-node/src/limits/records.rs
+++ b/crates/burdock-node/src/limits/records.rs
@@ -91,6 +91,12 @@
         buckets.get(&bucket_of(organisation))?.records.get(organisation).cloned()
     }
 
+    /// All records of one bucket, each with the time since when it is known here.
+    #[must_use]
+    pub fn bucket(&self, bucket: u32) -> BTreeMap<OrganisationName, (ShareRecord, Time)> {
+        self.buckets.lock().get(&bucket).map(|held| held.records.clone()).unwrap_or_default()
+    }
+
     /// The versions acted on in one bucket, by organisation.
     #[must_use]
     pub fn versions(&self, bucket: u32) -> BTreeMap<OrganisationName, u64> {
--- /dev/null
+++ b/crates/burdock-node/tests/shares.rs
@@ -0,0 +1,61 @@
+//! The records of shares that a keeper writes.
+
+use std::collections::BTreeMap;
+
+use burdock_decide::shares::{ShareRecord, Step};
+use burdock_decide::time::Time;
+use burdock_model::ids::{Incarnation, InstanceId, Life, OrganisationName};
+use burdock_model::snapshot::Organisation;
+use burdock_model::units::Rate;
+use burdock_node::limits::keeper::next_records;
+use burdock_node::limits::records::{Records, bucket_of, parse, write};
+use burdock_wire::messages::ShareBucket;
+use googletest::prelude::*;
+
+fn name(text: &str) -> OrganisationName {
+    OrganisationName::new(text).unwrap()
+}
+
+fn record(version: u64) -> ShareRecord {
+    let life = Life { instance: InstanceId::new("a").unwrap(), incarnation: Incarnation(1) };
+    let split = BTreeMap::from([(life, 1_000_000)]);
+    ShareRecord { version, present: split.clone(), wanted: split }
+}
+
+#[gtest]
+fn a_keeper_keeps_the_record_of_an_organisation_it_does_not_know() {
+    let held = BTreeMap::from([(name("newer"), (record(3), Time(1)))]);
+    let known = Organisation { name: name("known"), rate: Rate::per_second(1), burst: 1, weight: 1 };
+    let next = next_records(held, &[&known], |_, _, _| Step::Write(record(1))).unwrap();
+    expect_that!(next.get(&name("newer")), some(eq(&record(3))));
+    expect_that!(next.get(&name("known")), some(eq(&record(1))));
+}
+
+#[gtest]
+fn nothing_is_written_when_nothing_changes() {
+    let known = Organisation { name: name("known"), rate: Rate::per_second(1), burst: 1, weight: 1 };
+    expect_that!(next_records(BTreeMap::new(), &[&known], |_, _, _| Step::Wait), none());
+}
+
+#[gtest]
+fn an_older_bucket_is_not_taken_and_a_record_keeps_the_time_it_is_known_since() {
+    let records = Records::default();
+    let o = name("known");
+    let bucket = |version: u64, of: u64| ShareBucket {
+        bucket: bucket_of(&o),
+        version,
+        records: write(&BTreeMap::from([(o.clone(), record(of))])),
+    };
+    expect_that!(records.take(&bucket(5, 1), Time(10)).unwrap(), eq(true));
+    expect_that!(records.take(&bucket(4, 2), Time(20)).unwrap(), eq(false));
+    expect_that!(records.take(&bucket(6, 1), Time(30)).unwrap(), eq(true));
+    expect_that!(records.known(&o), some(eq(&(record(1), Time(10)))));
+    expect_that!(records.take(&bucket(7, 2), Time(40)).unwrap(), eq(true));
+    expect_that!(records.known(&o), some(eq(&(record(2), Time(40)))));
+}
+
+#[gtest]
+fn records_come_back_as_they_were_written() {
+    let records = BTreeMap::from([(name("known"), record(9))]);
+    expect_that!(parse(&write(&records)).unwrap(), eq(&records));
+}
