Let an instance take over only when it is listed; give test instances ports of their own

Cause: a process test failed once in five runs, 30 s after 0.6 s: an instance never became ready. Its port had been found free by binding port 0 and letting go, and the links of the harness, which bind port 0 too, can be handed the same one before the process binds it. While looking into start-up: an instance that does not know the others yet counts as a majority of one. Change: ports for instances come from below the range that the system hands out. An instance that the platform's list does not hold may not accept changes or take over. That the port was the cause is inferred from the time of the failure and from the way ports were found; it was not seen in the act.

--- a/crates/burdock-node/src/fleet/mod.rs
+++ b/crates/burdock-node/src/fleet/mod.rs
@@ -49,6 +49,7 @@
     change_pending: AtomicU64,
     members: AtomicU64,
     superseded: AtomicU64,
+    listed: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -144,9 +145,11 @@
     }
 
     /// Whether this instance may accept a change or take over what another held.
+    ///
+    /// One that the platform's list does not hold yet may not: others don't count it, and it may not know of them.
     #[must_use]
     pub fn may_take_over(&self, now: Time) -> bool {
-        may_take_over(&self.contact_view(now))
+        self.contact.listed.load(Ordering::Acquire) != 0 && may_take_over(&self.contact_view(now))
     }
 
     /// When the store's state was last confirmed.
@@ -174,6 +177,8 @@
 
     /// Takes in the platform's list. Instances that are not in it are kept while they are heard of.
     pub fn take_list(&self, list: &[ListedInstance], now: Time) {
+        let listed = list.iter().any(|l| l.id == self.own.instance.as_str());
+        self.contact.listed.store(u64::from(listed), Ordering::Release);
         let mut state = self.state.lock();
         for member in &mut state.members {
             member.listed = member.id == self.own.instance;
--- a/crates/burdock-node/tests/outage.rs
+++ b/crates/burdock-node/tests/outage.rs
@@ -54,3 +54,14 @@
         expect_that!(node.fleet.contact(node.clock.now()).connectivity, eq(Connectivity::StoreOutage));
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_is_not_listed_accepts_no_change() {
+    let demo = DemoSettings::default().instances(1).backends(1).start().await.unwrap();
+    let node = &demo.nodes[0].node;
+    expect_that!(make(node, &wish(1)).await.is_ok(), eq(true));
+    node.fleet.take_list(&[], node.clock.now());
+    let e = make(node, &wish(0)).await.unwrap_err();
+    expect_that!(e.kind, eq(burdock_model::error::ErrorKind::Isolated));
+}
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use burdock_standin::backend::Ran;
@@ -27,6 +28,10 @@
 /// The longest that anything is waited for before a test fails.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Ports for instances.
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 32_000;
+
 const TOKEN: &str = "0123456789abcdef0123456789abcdef";
 
 /// A child process that is killed by its id when dropped.
@@ -374,7 +379,16 @@
     value.as_str().expect("an address").parse().expect("an address")
 }
 
-// The port is free when asked for; the process binds it a moment later.
+// Ports below the range that the system hands out by itself, so that nobody takes one between this look and
+// the moment when the process binds it.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + u16::try_from(std::process::id() % 64).expect("a small number") * 128;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(port < LAST_PORT, "no free port");
+        if let Ok(listener) = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
