--- a/crates/burdock-node/benches/capacity/measure.rs
+++ b/crates/burdock-node/benches/capacity/measure.rs
@@ -28,7 +28,7 @@
 const MEMBERS: [usize; 5] = [24, 100, 150, 300, 580];
 
 /// Numbers of organisations.
-const ORGANISATIONS: [usize; 4] = [10, 100, 500, 2000];
+const ORGANISATIONS: [usize; 5] = [10, 100, 500, 2000, 4200];
 
 /// Numbers of idempotency keys.
 const KEYS: [usize; 4] = [10_000, 50_000, 100_000, 400_000];
