Check that key ids are unique in one pass

Cause: checking a tree looked through all organisations for each key, so resolving grew with the square of organisations. Change: one pass with a map from key id to its owner; a test for shared ids and malformed hashes.

--- a/crates/burdock-model/src/resolve.rs
+++ b/crates/burdock-model/src/resolve.rs
@@ -1,9 +1,9 @@
 //! Inheritance from level to level, and the checks of a whole tree.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use crate::error::{Error, ErrorKind, Result};
-use crate::ids::{OrganisationName, RouteName, ServiceName};
+use crate::ids::{KeyId, OrganisationName, RouteName, ServiceName};
 use crate::settings::{Level, LevelSettings, ResolvedSettings};
 use crate::tree::{OrganisationNode, RouteNode, ServiceNode, Tree};
 
@@ -60,6 +60,7 @@
 pub fn check(tree: &Tree) -> Result<()> {
     check_resolved(&resolve(tree, Scope { organisation: None, service: None, route: None }), "settings")?;
     check_services(tree)?;
+    check_keys(tree)?;
     for (name, organisation) in &tree.organisations {
         check_organisation(tree, name, organisation)?;
     }
@@ -123,7 +124,6 @@
 
 fn check_organisation(tree: &Tree, name: &OrganisationName, organisation: &OrganisationNode) -> Result<()> {
     let at = format!("organisations.{name}");
-    check_keys(tree, name, organisation)?;
     let scope = Scope { organisation: Some(name), service: None, route: None };
     check_resolved(&resolve(tree, scope), &at)?;
     for (service_name, service) in &organisation.services {
@@ -144,22 +144,19 @@
     Ok(())
 }
 
-fn check_keys(tree: &Tree, name: &OrganisationName, organisation: &OrganisationNode) -> Result<()> {
-    for (id, key) in &organisation.keys {
-        let at = format!("organisations.{name}.keys.{id}");
-        if hex::decode(&key.hash).map(|h| h.len()) != Ok(32) {
-            return Err(invalid(
-                format!("{at}: hash is not 64 hexadecimal digits"),
-                "issue keys by the admin API",
-            ));
-        }
-        let elsewhere =
-            tree.organisations.iter().find(|(other, o)| *other != name && o.keys.contains_key(id));
-        if let Some((other, _)) = elsewhere {
-            return Err(invalid(
-                format!("{at}: `{other}` has a key with this id"),
-                "give each key its own id",
-            ));
+fn check_keys(tree: &Tree) -> Result<()> {
+    let mut owners: HashMap<&KeyId, &OrganisationName> = HashMap::new();
+    for (name, organisation) in &tree.organisations {
+        for (id, key) in &organisation.keys {
+            let at = format!("organisations.{name}.keys.{id}");
+            if hex::decode(&key.hash).map(|h| h.len()) != Ok(32) {
+                let detail = format!("{at}: hash is not 64 hexadecimal digits");
+                return Err(invalid(detail, "issue keys by the admin API"));
+            }
+            if let Some(other) = owners.insert(id, name) {
+                let detail = format!("{at}: `{other}` has a key with this id");
+                return Err(invalid(detail, "give each key its own id"));
+            }
         }
     }
     Ok(())
--- a/crates/burdock-model/tests/tree.rs
+++ b/crates/burdock-model/tests/tree.rs
@@ -67,6 +67,11 @@
         "b": {"routes": {"y": {"prefix": "/x/"}}},
     }});
     expect_that!(refused(&twice), contains_substring("stands twice"));
+    let key = json!({"keys": {"k1": {"hash": "0".repeat(64)}}});
+    let shared = json!({"organisations": {"a": key, "b": key}});
+    expect_that!(refused(&shared), contains_substring("`a` has a key with this id"));
+    let short = json!({"organisations": {"a": {"keys": {"k1": {"hash": "00"}}}}});
+    expect_that!(refused(&short), contains_substring("64 hexadecimal digits"));
 }
 
 #[gtest]
