Serve callers on the platform: adapter, dialect, placement by object, directory, registration

Cause: the operators' machines and store speak a protocol of their own. Change: the adapter moves to platform/ (settings file, store client, decoding, header names); burdock-node gets the modules under site/ (table of backend servers, placement, attempts, directory, registration, watch); decisions for placement by object, splits and cold backend servers are functions in burdock-decide.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -5,17 +5,20 @@
 
 pub mod admit;
 pub mod answer;
+pub mod cold;
 pub mod connectivity;
 pub mod headers;
 pub mod limit;
 pub mod membership;
 pub mod once;
 pub mod pick;
+pub mod place;
 pub mod quarantine;
 pub mod region;
 pub mod retry;
 pub mod shares;
 pub mod shift;
 pub mod shutdown;
+pub mod split;
 pub mod steer;
 pub mod time;
--- a/crates/burdock-decide/src/retry.rs
+++ b/crates/burdock-decide/src/retry.rs
@@ -35,19 +35,44 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Budget {
     thousandths: u32,
+    cap: u32,
+    per_request: u32,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { thousandths: BUDGET_CAP }
+        Self { thousandths: BUDGET_CAP, cap: BUDGET_CAP, per_request: BUDGET_PER_REQUEST }
     }
 }
 
 impl Budget {
+    /// A full budget that holds `cap` attempts and gets a part of one for each request, both in thousandths.
+    ///
+    /// ```
+    /// use burdock_decide::retry::Budget;
+    /// let mut budget = Budget::of(1000, 500);
+    /// assert!(budget.spend() && !budget.spend());
+    /// budget.earn();
+    /// budget.earn();
+    /// assert!(budget.spend());
+    /// ```
+    #[must_use]
+    pub const fn of(cap: u32, per_request: u32) -> Self {
+        Self { thousandths: cap, cap, per_request }
+    }
+
+    /// Changes what it holds at most, as the number of instances changes.
+    pub const fn set_cap(&mut self, cap: u32) {
+        self.cap = cap;
+        if self.thousandths > cap {
+            self.thousandths = cap;
+        }
+    }
+
     /// Counts a request.
     pub const fn earn(&mut self) {
-        let sum = self.thousandths + BUDGET_PER_REQUEST;
-        self.thousandths = if sum > BUDGET_CAP { BUDGET_CAP } else { sum };
+        let sum = self.thousandths + self.per_request;
+        self.thousandths = if sum > self.cap { self.cap } else { sum };
     }
 
     /// Takes one attempt if there is one.
--- a/crates/burdock-model/src/lib.rs
+++ b/crates/burdock-model/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod prelude;
 pub mod resolve;
 pub mod settings;
+pub mod site;
+pub mod site_settings;
 pub mod snapshot;
 pub mod tree;
 pub mod treepath;
--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -11,8 +11,8 @@
 use burdock_standin::store::StoreStandin;
 
 use crate::demo::{DemoSettings, write_tree};
-use crate::observe::{logs, trace};
-use crate::settings::{InstanceSettings, LogSettings};
+use crate::observe::logs;
+use crate::settings::{InstanceSettings, LogFormat, LogSettings};
 use crate::shutdown::{StopSignals, shut_down};
 use crate::start::{Listeners, start};
 
@@ -30,6 +30,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run an instance of a deployment on the platform.
+    #[bpaf(command)]
+    Site {
+        /// Settings file of the platform; by default the one that its environment names
+        #[bpaf(argument("FILE"))]
+        settings: Option<PathBuf>,
+    },
     /// Check a settings file, or a tree, and say what is wrong with it.
     #[bpaf(command)]
     Check {
@@ -125,6 +132,7 @@
 fn execute(command: Command) -> Result<()> {
     match command {
         Command::Run { settings } => run(InstanceSettings::load(&settings)?),
+        Command::Site { settings } => site(settings),
         Command::Check { settings, tree } => check(settings, tree),
         Command::Demo { instances, backends, seed, port, output } => {
             let settings =
@@ -165,7 +173,6 @@
 
 fn run(settings: InstanceSettings) -> Result<()> {
     logs::init(settings.log);
-    trace::init();
     block_on(settings.threads.workers, async move {
         let mut signals = StopSignals::listen().map_err(|e| internal(&e))?;
         let listeners = Listeners::bind(&settings.listen).await?;
@@ -177,9 +184,20 @@
     })
 }
 
+/// Threads for requests on each core of a machine.
+const SITE_THREADS_PER_CORE: f64 = 1.0;
+
+fn site(path: Option<PathBuf>) -> Result<()> {
+    logs::init(LogSettings { format: LogFormat::Json });
+    let path = path.unwrap_or_else(burdock_platform::settings::path);
+    let settings = burdock_platform::settings::load(&path)?;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
+    let threads = (settings.cores * SITE_THREADS_PER_CORE).ceil().max(1.0) as usize;
+    block_on(threads, async move { crate::site::start::run(settings, &path).await })
+}
+
 async fn demo(settings: DemoSettings, output: Output) -> Result<()> {
     logs::init(LogSettings::default());
-    trace::init();
     let mut signals = StopSignals::listen().map_err(|e| internal(&e))?;
     let demo = settings.start().await?;
     match output {
--- a/crates/burdock-node/src/lib.rs
+++ b/crates/burdock-node/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod settings;
 pub mod shards;
 pub mod shutdown;
+pub mod site;
 pub mod start;
--- /dev/null
+++ b/crates/burdock-node/src/site/backend.rs
@@ -0,0 +1,221 @@
+//! One backend server as seen from this instance.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use burdock_decide::cold;
+use burdock_decide::limit::Bucket;
+use burdock_decide::place::Candidate;
+use burdock_decide::time::Time;
+use burdock_model::site::RegisteredBackend;
+use parking_lot::Mutex;
+
+use crate::forward::pool::Pool;
+use crate::site::hash_of;
+
+/// A new measurement counts for this part of the mean.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// The time in which an old measurement loses half of its say, so that a backend server which was slow or
+/// failing is tried again.
+const SAMPLE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Bounds of measured slowness: beyond them a single request says nothing more.
+const SLOWNESS_RANGE: (f64, f64) = (0.7, 25.0);
+
+/// How long a backend server that could not be reached gets nothing.
+const OUT_FOR: Duration = Duration::from_millis(700);
+
+/// The longest time that it gets nothing after failing again and again.
+const LONGEST_OUT: Duration = Duration::from_millis(3000);
+
+/// How long a backend server's own statement of its load is used.
+const REPORT_BOUND: Duration = Duration::from_millis(400);
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Backend {
+    /// What it registered.
+    pub registered: RegisteredBackend,
+    /// Its region, as a small number.
+    pub region: usize,
+    /// Connections to it.
+    pub pool: Pool,
+    hash: u64,
+    in_flight: AtomicU32,
+    elsewhere: AtomicU32,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    slowness: f64,
+    failing: f64,
+    sampled: Time,
+    out_until: Time,
+    failures: u32,
+    cold_until: Time,
+    cold_bucket: Option<Bucket>,
+    report: Option<(u32, Time)>,
+}
+
+impl Backend {
+    /// A backend server that has just registered.
+    #[must_use]
+    pub fn new(registered: RegisteredBackend, region: usize, now: Time) -> Self {
+        let state = State {
+            slowness: 1.0,
+            failing: 0.0,
+            sampled: now,
+            out_until: now,
+            failures: 0,
+            cold_until: now,
+            cold_bucket: None,
+            report: None,
+        };
+        Self {
+            pool: Pool::new(registered.address),
+            hash: hash_of(registered.id.as_str()),
+            region,
+            in_flight: AtomicU32::new(0),
+            elsewhere: AtomicU32::new(0),
+            state: Mutex::new(state),
+            registered,
+        }
+    }
+
+    /// Whether an entry describes this very life of the backend server.
+    #[must_use]
+    pub fn is_same(&self, other: &RegisteredBackend) -> bool {
+        let own = &self.registered;
+        own.address == other.address
+            && own.service == other.service
+            && own.zone == other.zone
+            && own.slots == other.slots
+            && own.started_ms == other.started_ms
+    }
+
+    /// Treats it as cold for some time from now.
+    pub fn cool(&self, how_long: Duration, now: Time) {
+        let mut state = self.state.lock();
+        state.cold_until = state.cold_until.max(now + how_long);
+    }
+
+    /// Whether it is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.state.lock().cold_until
+    }
+
+    /// Takes leave to send one request to it while it is cold.
+    #[must_use]
+    pub fn take_cold_leave(&self, rate: f64, now: Time) -> bool {
+        let allotment = cold::allotment(rate);
+        let mut state = self.state.lock();
+        let bucket = state.cold_bucket.get_or_insert_with(|| Bucket::new(allotment, now));
+        bucket.set_allotment(allotment, now);
+        bucket.take(now)
+    }
+
+    /// The candidate that it is for a request.
+    #[must_use]
+    pub fn candidate(&self, round_trip_ms: f64, is_open: bool, now: Time) -> Candidate {
+        let own = self.in_flight.load(Ordering::Relaxed);
+        let state = self.state.lock();
+        let age = now.since(state.sampled).as_secs_f64();
+        let kept = 0.5_f64.powf(age / SAMPLE_HALF_LIFE.as_secs_f64());
+        let reported = state.report.filter(|(_, at)| now.since(*at) < REPORT_BOUND).map_or(0, |(n, _)| n);
+        let elsewhere = self.elsewhere.load(Ordering::Relaxed);
+        Candidate {
+            id_hash: self.hash,
+            region: self.region,
+            round_trip_ms,
+            slots: self.registered.slots,
+            load: own + elsewhere.max(reported),
+            slowness: 1.0 + (state.slowness - 1.0) * kept,
+            failing: state.failing * kept,
+            is_warm: false,
+            is_open: is_open && now >= state.out_until,
+        }
+    }
+
+    /// Counts a request as at work there until the guard is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight { backend: Arc::clone(self) }
+    }
+
+    /// Requests from here at work there.
+    #[must_use]
+    pub fn own_in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many requests of other instances are at work there.
+    pub fn set_elsewhere(&self, count: u32) {
+        self.elsewhere.store(count, Ordering::Relaxed);
+    }
+
+    /// Takes in its own statement of how many requests run and wait there.
+    pub fn reported(&self, there: u32, now: Time) {
+        let others = there.saturating_sub(self.own_in_flight());
+        self.state.lock().report = Some((others, now));
+    }
+
+    /// Takes in an answer: how much slower it came than expected, and whether it was a failure.
+    pub fn answered(&self, slowness: f64, good: bool, now: Time) {
+        let mut state = self.state.lock();
+        let (least, most) = SLOWNESS_RANGE;
+        state.slowness += (slowness.clamp(least, most) - state.slowness) * SAMPLE_WEIGHT;
+        state.failing += (f64::from(u8::from(!good)) - state.failing) * SAMPLE_WEIGHT;
+        state.sampled = now;
+        state.failures = 0;
+    }
+
+    /// Takes in a refusal by a full or failing backend server.
+    pub fn refused(&self, now: Time) {
+        let mut state = self.state.lock();
+        state.failing += (1.0 - state.failing) * SAMPLE_WEIGHT;
+        state.sampled = now;
+    }
+
+    /// Takes in that it could not be reached or broke a connection. When it answers again it may have been
+    /// started anew, so it counts as cold for `cold_for` from then.
+    pub fn unreachable(&self, cold_for: Duration, now: Time) {
+        const MOST_DOUBLINGS: u32 = 3;
+        let mut state = self.state.lock();
+        let out_for = (OUT_FOR * 2_u32.pow(state.failures.min(MOST_DOUBLINGS))).min(LONGEST_OUT);
+        state.failures += 1;
+        state.out_until = now + out_for;
+        state.cold_until = state.cold_until.max(state.out_until + cold_for);
+    }
+
+    /// Takes in that an answer broke off, which says little about the backend server itself.
+    pub fn broke_answer(&self, now: Time) {
+        let mut state = self.state.lock();
+        state.failing += (1.0 - state.failing) * SAMPLE_WEIGHT;
+        state.sampled = now;
+    }
+}
+
+/// A request at work at a backend server.
+#[derive(Debug)]
+pub struct InFlight {
+    backend: Arc<Backend>,
+}
+
+impl InFlight {
+    /// The backend server.
+    #[must_use]
+    pub const fn backend(&self) -> &Arc<Backend> {
+        &self.backend
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.backend.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -0,0 +1,144 @@
+//! The instances of the deployment, and this one's registration among them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::time::Time;
+use burdock_model::ids::InstanceId;
+use burdock_model::site::RegisteredInstance;
+use burdock_platform::decode::instance_key;
+use burdock_platform::kv::{Committed, Transaction};
+use burdock_platform::store::StoreResult;
+use parking_lot::Mutex;
+
+use crate::node::Phase;
+use crate::site::SiteNode;
+
+/// Life of an instance's entry without renewal: short enough that the directory forgets a dead instance before
+/// the bound on that, long enough for three renewals.
+const LEASE_TIME: Duration = Duration::from_millis(5000);
+
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long an instance that is no longer listed still counts for shares of what all have together, since it
+/// may only be cut off from the store.
+const GHOST_TIME: Duration = Duration::from_secs(10);
+
+/// The instances of the deployment.
+#[derive(Debug, Default)]
+pub struct SiteFleet {
+    members: Mutex<BTreeMap<InstanceId, Member>>,
+}
+
+#[derive(Debug)]
+struct Member {
+    registered: RegisteredInstance,
+    gone_since: Option<Time>,
+}
+
+impl SiteFleet {
+    /// Takes in an entry, or that there is none any more.
+    pub fn take(&self, id: &InstanceId, entry: Option<RegisteredInstance>, now: Time) {
+        let mut members = self.members.lock();
+        match (entry, members.get_mut(id)) {
+            (Some(registered), _) => {
+                members.insert(id.clone(), Member { registered, gone_since: None });
+            }
+            (None, Some(member)) => {
+                member.gone_since.get_or_insert(now);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Forgets instances that have been gone for long.
+    pub fn sweep(&self, now: Time) {
+        self.members.lock().retain(|_, m| m.gone_since.is_none_or(|at| now.since(at) < GHOST_TIME));
+    }
+
+    /// Instances that are listed now.
+    #[must_use]
+    pub fn listed(&self) -> Vec<RegisteredInstance> {
+        let members = self.members.lock();
+        members.values().filter(|m| m.gone_since.is_none()).map(|m| m.registered.clone()).collect()
+    }
+
+    /// Instances that may be using a share of what all have together.
+    #[must_use]
+    pub fn expected_instances(&self) -> usize {
+        self.members.lock().len()
+    }
+}
+
+/// Registers this instance and keeps the entry alive until it leaves.
+pub async fn register_loop(node: Arc<SiteNode>) {
+    while node.phase() < Phase::Draining {
+        match register(&node).await {
+            Ok(lease) => {
+                log::info!(lease = lease, instance = node.life.instance.as_str(); "registered");
+                keep(&node, lease).await;
+            }
+            Err(e) => {
+                log::warn!("registration failed: {e}");
+                node.table.store_back(node.clock.now());
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Takes this instance's entry away.
+pub async fn withdraw(node: &SiteNode) {
+    let remove = vec![instance_key(&node.life.instance)];
+    let transaction = Transaction { remove, ..Transaction::default() };
+    if let Err(e) = node.kv.commit(&transaction).await {
+        log::warn!("the entry could not be withdrawn and will lapse: {e}");
+    }
+}
+
+async fn register(node: &SiteNode) -> StoreResult<u64> {
+    let lease = node.kv.grant(LEASE_TIME).await?;
+    let listen = &node.settings.listen;
+    let entry = RegisteredInstance {
+        id: node.life.instance.clone(),
+        incarnation: node.life.incarnation,
+        region: node.settings.region.clone(),
+        zone: node.settings.zone.clone(),
+        callers: listen.callers,
+        peers: listen.peers,
+    };
+    let value = serde_json::to_vec(&entry).unwrap_or_default();
+    let put = vec![(instance_key(&entry.id), value, lease)];
+    match node.kv.commit(&Transaction { put, ..Transaction::default() }).await? {
+        Committed::At(_) => Ok(lease),
+        Committed::Conflict | Committed::NoLease => {
+            Err(burdock_platform::store::StoreError::Conflict { version: 0 })
+        }
+    }
+}
+
+// Returns when the lease has ended.
+async fn keep(node: &SiteNode, lease: u64) {
+    loop {
+        tokio::time::sleep(RENEW_INTERVAL).await;
+        if node.phase() >= Phase::Draining {
+            return;
+        }
+        match node.kv.renew(lease).await {
+            Ok(true) => {}
+            Ok(false) => {
+                log::warn!(lease = lease; "the lease has ended");
+                return;
+            }
+            Err(e) => {
+                log::warn!(lease = lease; "renewal failed: {e}");
+                node.table.store_back(node.clock.now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/src/site/handle.rs
@@ -0,0 +1,281 @@
+//! The way of one request of a caller.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::time::Time;
+use burdock_model::error::Outcome as Ran;
+use burdock_model::hash::stable;
+use burdock_model::prelude::*;
+use burdock_model::site::{Organisation, PlanIndex, Route};
+use burdock_platform::dialect::Dialect;
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::forward::body::RequestBody;
+use crate::node::Phase;
+use crate::observe::counters::Counter;
+use crate::site::SiteNode;
+use crate::site::body::AnswerBody;
+use crate::site::outbound::{Outbound, forwarded};
+use crate::site::send::{Outcome, Unanswered, run};
+
+/// The longest body that is read in whole before it is sent on, so that it can be sent again.
+const HELD_BODY_BYTES: u64 = 256 << 10;
+
+/// The time before a request's deadline that is left for its answer to reach the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// The longest time that a request without a limit of its own is kept.
+const LONGEST: Duration = Duration::from_secs(60);
+
+/// Answers a request.
+///
+/// # Errors
+/// Never; a request that can't be served gets an answer that says so.
+pub async fn handle(node: Arc<SiteNode>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+    let _at_work = node.begin_request();
+    node.counters.add(Counter::Requests);
+    let arrived = node.clock.now();
+    let (parts, incoming) = req.into_parts();
+    let plan = node.plan.load_full();
+    let mut resp = match serve(&node, &plan, &parts, incoming, arrived).await {
+        Ok(resp) => resp,
+        Err(e) => refusal(&node, &e, &parts.headers),
+    };
+    if node.phase() >= Phase::Draining {
+        resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(resp)
+}
+
+async fn serve(
+    node: &Arc<SiteNode>,
+    plan: &PlanIndex,
+    parts: &Parts,
+    incoming: Incoming,
+    arrived: Time,
+) -> Result<Response<AnswerBody>, Unanswered> {
+    let outbound = check_head(node, plan, parts, arrived)
+        .inspect_err(|e| note_refusal(node, parts, plan, e, arrived))?;
+    let body = read_body(plan, &outbound, parts, incoming, node).await?;
+    let outcome = run(node, plan, &outbound, body).await;
+    note(node, plan, &outbound, &outcome);
+    let answered = outcome.result?;
+    node.counters.add(Counter::Answered);
+    Ok(answered.resp)
+}
+
+fn check_head<'a>(
+    node: &SiteNode,
+    plan: &'a PlanIndex,
+    parts: &Parts,
+    arrived: Time,
+) -> Result<Outbound<'a>, Unanswered> {
+    if !plan.is_published() {
+        return Err(refused(ErrorKind::NoBackend, "no configuration is known yet", Some(STARTING_PAUSE)));
+    }
+    check_framing(&parts.headers)?;
+    let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let path = parts.uri.path();
+    let route = plan.route(host, path).map(|ix| &plan.plan.routes[ix]);
+    let route =
+        route.ok_or_else(|| refused(ErrorKind::NoRoute, &format!("no route for `{host}{path}`"), None))?;
+    let organisation = organisation(node, plan, route, &parts.headers)?;
+    if let Some(organisation) = organisation {
+        let part = 1.0 / node.fleet.expected_instances().max(1) as f64;
+        node.allowances.take(organisation, part, arrived).map_err(|wait| over_rate(organisation, wait))?;
+    }
+    let given = header(&parts.headers, &node.dialect.deadline_ms).and_then(|v| v.parse().ok());
+    let given = given.map_or(LONGEST, Duration::from_millis);
+    let attempt_id = parts.headers.get(&node.dialect.attempt_id).cloned();
+    let object = parts.headers.get(&node.dialect.object).map(|v| object_hash(v.as_bytes(), route));
+    Ok(Outbound {
+        route,
+        organisation: organisation.map(|o| &o.name),
+        urgency: organisation.and_then(|o| o.urgency).unwrap_or(route.urgency),
+        regions: allowed_regions(route, organisation)?,
+        method: parts.method.clone(),
+        target: parts.uri.clone(),
+        headers: forwarded(&node.dialect, &parts.headers),
+        attempt_id: attempt_id.unwrap_or_else(new_id),
+        object,
+        arrived,
+        deadline: arrived + given.min(route.time_limit).saturating_sub(ANSWER_MARGIN),
+    })
+}
+
+/// When a caller may come back that found an instance without a configuration: about the time that it takes to
+/// read one.
+const STARTING_PAUSE: Duration = Duration::from_millis(300);
+
+/// The longest time after which a caller over its rate is asked to come back.
+const LONGEST_OVER_RATE: Duration = Duration::from_secs(2);
+
+fn over_rate(organisation: &Organisation, wait: Option<Duration>) -> Unanswered {
+    let wait = wait.unwrap_or(LONGEST_OVER_RATE).min(LONGEST_OVER_RATE);
+    let spread = rand::random_range(1.0..2.0);
+    refused(
+        ErrorKind::OverRate,
+        &format!("`{}` is over its rate", organisation.name),
+        Some(wait.mul_f64(spread)),
+    )
+}
+
+fn organisation<'a>(
+    node: &SiteNode,
+    plan: &'a PlanIndex,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<&'a Organisation>, Unanswered> {
+    if route.open || plan.plan.organisations.is_empty() {
+        return Ok(None);
+    }
+    let key = header(headers, &node.dialect.key).unwrap_or_default();
+    let found = plan.organisation_of(key).map(|ix| &plan.plan.organisations[ix]);
+    if found.is_none() {
+        node.counters.add(Counter::KeyRefused);
+        return Err(refused(ErrorKind::KeyRefused, "the key is unknown or was withdrawn", None));
+    }
+    Ok(found)
+}
+
+// Where route and organisation both name regions, both bind.
+fn allowed_regions<'a>(
+    route: &'a Route,
+    organisation: Option<&'a Organisation>,
+) -> Result<Vec<&'a RegionName>, Unanswered> {
+    let own = organisation.map_or(&[] as &[RegionName], |o| o.regions.as_slice());
+    if route.regions.is_empty() {
+        return Ok(own.iter().collect());
+    }
+    if own.is_empty() {
+        return Ok(route.regions.iter().collect());
+    }
+    let both: Vec<&RegionName> = route.regions.iter().filter(|r| own.contains(r)).collect();
+    if both.is_empty() {
+        return Err(refused(ErrorKind::NoBackend, "route and organisation share no region", None));
+    }
+    Ok(both)
+}
+
+async fn read_body(
+    plan: &PlanIndex,
+    outbound: &Outbound<'_>,
+    parts: &Parts,
+    incoming: Incoming,
+    node: &SiteNode,
+) -> Result<RequestBody, Unanswered> {
+    let limit = plan.plan.caller_limits.body_bytes;
+    if incoming.is_end_stream() {
+        return Ok(RequestBody::Held(Bytes::new()));
+    }
+    let length: Option<u64> = header(&parts.headers, &CONTENT_LENGTH).and_then(|v| v.parse().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(refused(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None));
+    }
+    if length.is_some_and(|length| length > HELD_BODY_BYTES) {
+        return Ok(RequestBody::Streamed { incoming, passed: 0, limit });
+    }
+    let most = usize::try_from(limit).unwrap_or(usize::MAX);
+    let read = Limited::new(incoming, most).collect();
+    match tokio::time::timeout(outbound.time_left(node.clock.now()), read).await {
+        Ok(Ok(body)) => Ok(RequestBody::Held(body.to_bytes())),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(refused(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None))
+        }
+        Ok(Err(e)) => Err(refused(ErrorKind::BadRequest, &format!("the body broke off: {e}"), None)),
+        Err(_elapsed) => Err(refused(ErrorKind::DeadlineBefore, "the body did not arrive in time", None)),
+    }
+}
+
+// Two lengths, or a length beside chunks, mean different bodies to different readers.
+fn check_framing(headers: &HeaderMap) -> Result<(), Unanswered> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    if lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING)) {
+        return Err(refused(ErrorKind::BadRequest, "the body's length is given twice", None));
+    }
+    Ok(())
+}
+
+fn refusal(node: &SiteNode, e: &Unanswered, headers: &HeaderMap) -> Response<AnswerBody> {
+    let ran = e.error.kind.answer().outcome;
+    node.counters.add(match ran {
+        Ran::NotRun => Counter::RefusedNotRun,
+        Ran::Unknown => Counter::RefusedUnknown,
+    });
+    let body = serde_json::json!({ "error": e.error.to_string() }).to_string();
+    let mut resp = Response::new(AnswerBody::whole(body));
+    *resp.status_mut() =
+        StatusCode::from_u16(Dialect::status(e.error.kind)).unwrap_or(StatusCode::BAD_GATEWAY);
+    let own = resp.headers_mut();
+    own.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(id) = headers.get(&node.dialect.attempt_id) {
+        own.insert(&node.dialect.attempt_id, id.clone());
+    }
+    let after = e.retry_after.map(|wait| format!("{:.3}", wait.as_secs_f64()));
+    if let Some(after) = after.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        own.insert(RETRY_AFTER, after);
+    }
+    resp
+}
+
+fn refused(kind: ErrorKind, detail: &str, retry_after: Option<Duration>) -> Unanswered {
+    Unanswered { error: Error::new(kind, detail), retry_after }
+}
+
+fn note_refusal(node: &SiteNode, parts: &Parts, plan: &PlanIndex, e: &Unanswered, arrived: Time) {
+    if e.error.kind == ErrorKind::OverRate {
+        node.counters.add(Counter::OverRate);
+    }
+    log::info!(
+        id:? = parts.headers.get(&node.dialect.attempt_id),
+        path = parts.uri.path(),
+        version = plan.plan.version,
+        held_ms = millis(node.clock.now().since(arrived)),
+        status = Dialect::status(e.error.kind);
+        "refused: {}", e.error
+    );
+}
+
+fn note(node: &SiteNode, plan: &PlanIndex, outbound: &Outbound<'_>, outcome: &Outcome) {
+    let tried: Vec<&str> = outcome.tried.iter().map(|b| b.registered.id.as_str()).collect();
+    let (status, error) = match &outcome.result {
+        Ok(answered) => (answered.resp.status().as_u16(), String::new()),
+        Err(e) => (Dialect::status(e.error.kind), e.error.to_string()),
+    };
+    log::info!(
+        id:? = outbound.attempt_id,
+        route = outbound.route.name.as_str(),
+        organisation = outbound.organisation.map_or("", OrganisationName::as_str),
+        service = outcome.service.as_str(),
+        version = plan.plan.version,
+        tried:? = tried,
+        status = status,
+        took_ms = millis(node.clock.now().since(outbound.arrived));
+        "request {error}"
+    );
+}
+
+fn object_hash(key: &[u8], route: &Route) -> u64 {
+    stable(key, crate::site::hash_of(route.name.as_str()))
+}
+
+fn new_id() -> HeaderValue {
+    HeaderValue::from_str(&format!("{:016x}", rand::random::<u64>()))
+        .unwrap_or_else(|_ascii| HeaderValue::from_static("0"))
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/burdock-node/src/site/mod.rs
@@ -0,0 +1,225 @@
+//! An instance of a deployment on the platform: callers in the platform's dialect, configuration and backend
+//! servers from its store.
+
+pub mod allowances;
+pub mod backend;
+pub mod body;
+pub mod directory;
+pub mod fleet;
+pub mod handle;
+pub mod outbound;
+pub mod read_ahead;
+pub mod send;
+pub mod serve;
+pub mod start;
+pub mod sync;
+pub mod table;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use burdock_decide::retry::Budget;
+use burdock_decide::split::SplitCounts;
+use burdock_model::hash::stable;
+use burdock_model::ids::Life;
+use burdock_model::prelude::*;
+use burdock_model::site::{PlanIndex, Route};
+use burdock_model::site_settings::SiteSettings;
+use burdock_platform::dialect::Dialect;
+use burdock_platform::kv::Kv;
+
+use crate::clock::Clock;
+use crate::node::Phase;
+use crate::observe::counters::Counters;
+use crate::shards::Sharded;
+use crate::site::allowances::Allowances;
+use crate::site::fleet::SiteFleet;
+use crate::site::table::BackendTable;
+
+/// One running instance of a deployment.
+#[derive(Debug)]
+pub struct SiteNode {
+    /// Its settings.
+    pub settings: SiteSettings,
+    /// Its life.
+    pub life: Life,
+    /// Its clock.
+    pub clock: Clock,
+    /// The names on the wire.
+    pub dialect: Dialect,
+    /// The platform's store.
+    pub kv: Kv,
+    /// The configuration in force.
+    pub plan: ArcSwap<PlanIndex>,
+    /// The backend servers.
+    pub table: BackendTable,
+    /// The instances of the deployment.
+    pub fleet: SiteFleet,
+    /// Rates and bursts of organisations.
+    pub allowances: Allowances,
+    /// Counters.
+    pub counters: Counters,
+    budgets: Sharded<HashMap<ServiceName, Budget>>,
+    splits: Sharded<HashMap<RouteName, SplitCounts>>,
+    work_times: Sharded<HashMap<RouteName, WorkTime>>,
+    phase: AtomicU8,
+    in_flight: AtomicUsize,
+    last_request: AtomicU64,
+}
+
+/// Usual working time of a route's requests where their object ran lately.
+#[derive(Clone, Copy, Debug)]
+struct WorkTime {
+    mean_ms: f64,
+}
+
+/// A new working time counts for one part in this many of the mean.
+const WORK_TIME_WEIGHT: f64 = 32.0;
+
+/// The part of the latency target that a request is assumed to work before any was seen.
+const FIRST_WORK_PART: f64 = 0.35;
+
+/// The part of the fleet's bound on further attempts that this instance uses. The rest covers views of the
+/// fleet that differ.
+const RETRY_PART: f64 = 0.6;
+
+impl SiteNode {
+    /// An instance that has no configuration yet.
+    #[must_use]
+    pub fn new(settings: SiteSettings, life: Life) -> Self {
+        let clock = Clock::start();
+        Self {
+            kv: Kv::new(settings.store),
+            table: BackendTable::new(&settings),
+            fleet: SiteFleet::default(),
+            life,
+            clock,
+            dialect: Dialect::platform(),
+            plan: ArcSwap::default(),
+            allowances: Allowances::default(),
+            counters: Counters::default(),
+            budgets: Sharded::default(),
+            splits: Sharded::default(),
+            work_times: Sharded::default(),
+            phase: AtomicU8::new(Phase::Starting as u8),
+            in_flight: AtomicUsize::new(0),
+            last_request: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// How far it is in its life.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Starting,
+            1 => Phase::Ready,
+            2 => Phase::Draining,
+            _ => Phase::Finishing,
+        }
+    }
+
+    /// Goes on to a phase. It never goes back.
+    pub fn advance(&self, phase: Phase) {
+        let before = self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+        if before < phase as u8 {
+            log::info!(phase:? = phase, version = self.plan.load().plan.version; "phase");
+        }
+    }
+
+    /// Requests at work.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as at work until the returned guard is dropped.
+    #[must_use]
+    pub fn begin_request(self: &Arc<Self>) -> AtWork {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.last_request.store(self.clock.now().0, Ordering::Relaxed);
+        AtWork { node: Arc::clone(self) }
+    }
+
+    /// The service that the next request of a route goes to, as an index into the plan's services.
+    #[must_use]
+    pub fn next_service(&self, route: &Route) -> usize {
+        if let [only] = route.targets.as_slice() {
+            return only.service;
+        }
+        let weights: Vec<f64> = route.targets.iter().map(|t| t.weight).collect();
+        let mut shard = self.splits.lock(hash_of(route.name.as_str()));
+        let part = shard.entry(route.name.clone()).or_default().next(&weights);
+        route.targets[part].service
+    }
+
+    /// Usual working time of a route's requests, in milliseconds.
+    #[must_use]
+    pub fn work_ms(&self, route: &Route) -> f64 {
+        let shard = self.work_times.lock(hash_of(route.name.as_str()));
+        let first = route.latency_target.as_secs_f64() * 1e3 * FIRST_WORK_PART;
+        shard.get(&route.name).map_or(first, |w| w.mean_ms)
+    }
+
+    /// Takes in how long a request of a route was worked on.
+    pub fn observe_work(&self, route: &Route, measured_ms: f64) {
+        let first = route.latency_target.as_secs_f64() * 1e3 * FIRST_WORK_PART;
+        let mut shard = self.work_times.lock(hash_of(route.name.as_str()));
+        let work = shard.entry(route.name.clone()).or_insert(WorkTime { mean_ms: first });
+        work.mean_ms += (measured_ms - work.mean_ms) / WORK_TIME_WEIGHT;
+    }
+
+    /// Counts a request for a service towards its further attempts.
+    pub fn earn_retry(&self, service: &ServiceName) {
+        self.with_budget(service, Budget::earn);
+    }
+
+    /// Takes one further attempt if there is one.
+    #[must_use]
+    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, Budget::spend)
+    }
+
+    fn with_budget<R>(&self, service: &ServiceName, f: impl FnOnce(&mut Budget) -> R) -> R {
+        const THOUSAND: f64 = 1000.0;
+        let bounds = &self.settings.bounds;
+        let instances = self.fleet.expected_instances().max(1) as f64;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
+        let (cap, ratio) = (
+            (bounds.retry_slack / instances * RETRY_PART * THOUSAND) as u32,
+            (bounds.retry_ratio * RETRY_PART * THOUSAND) as u32,
+        );
+        let mut shard = self.budgets.lock(hash_of(service.as_str()));
+        let budget = shard.entry(service.clone()).or_insert_with(|| Budget::of(cap, ratio));
+        budget.set_cap(cap);
+        f(budget)
+    }
+
+    /// When the last request came, as time since then.
+    #[must_use]
+    pub fn quiet_for(&self) -> Duration {
+        self.clock.now().since(burdock_decide::time::Time(self.last_request.load(Ordering::Relaxed)))
+    }
+}
+
+/// A request at work.
+#[derive(Debug)]
+pub struct AtWork {
+    node: Arc<SiteNode>,
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Hash of a name, for picking a shard.
+#[must_use]
+pub fn hash_of(name: &str) -> u64 {
+    const SEED: u64 = 31;
+    stable(name.as_bytes(), SEED)
+}
--- /dev/null
+++ b/crates/burdock-node/src/site/serve.rs
@@ -0,0 +1,121 @@
+//! Accepting connections.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::forward::pool::detect_silence;
+use crate::site::SiteNode;
+use crate::site::body::AnswerBody;
+use crate::site::read_ahead::ReadAhead;
+use crate::site::{directory, handle};
+
+/// Descriptors that are kept for other things than callers' connections.
+const OTHER_FILES: usize = 1100;
+
+/// The fewest connections that callers may have open at one instance.
+const LEAST_CONNECTIONS: usize = 256;
+
+/// The pause after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves callers until `stop` turns true; then connections close as they come to rest.
+pub async fn serve_callers(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let room = node.settings.open_files.saturating_sub(OTHER_FILES).max(LEAST_CONNECTIONS);
+    accept(node, listener, stop, room, |node, stream, stop| async move {
+        let handler = Arc::clone(&node);
+        connection(&node, stream, stop, move |req| handle::handle(Arc::clone(&handler), req)).await;
+    })
+    .await;
+}
+
+/// Serves the directory or the readiness check until the task is dropped.
+pub async fn serve_directory(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    accept(node, listener, stop, LEAST_CONNECTIONS, |node, stream, stop| async move {
+        let handler = Arc::clone(&node);
+        connection(&node, stream, stop, move |req| directory::handle(Arc::clone(&handler), req)).await;
+    })
+    .await;
+}
+
+async fn accept<F, Fut>(
+    node: Arc<SiteNode>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    room: usize,
+    serve: F,
+) where
+    F: Fn(Arc<SiteNode>, TcpStream, watch::Receiver<bool>) -> Fut,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    let room = Arc::new(Semaphore::new(room));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("a connection could not be accepted: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Over the limit the connection is closed unread, so that the caller tries another instance.
+        let Ok(permit) = Arc::clone(&room).try_acquire_owned() else {
+            continue;
+        };
+        let connection = serve(Arc::clone(&node), stream, stop.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+}
+
+async fn connection<F, Fut>(node: &SiteNode, stream: TcpStream, mut stop: watch::Receiver<bool>, f: F)
+where
+    F: Fn(Request<Incoming>) -> Fut,
+    Fut: Future<Output = Result<Response<AnswerBody>, Infallible>>,
+{
+    if let Err(e) = detect_silence(&stream) {
+        log::warn!("a caller's connection could not be set up: {e}");
+        return;
+    }
+    let limits = node.plan.load().plan.caller_limits;
+    let io = ReadAhead::new(stream);
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            // The library counts from the end of the last answer, so this bounds idle time and head together.
+            .header_read_timeout(limits.idle_time + limits.head_time)
+            .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES) * 2)
+            // Boxed, so that a connection at rest does not hold the room of a request.
+            .serve_connection(TokioIo::new(io.clone()), service_fn(|req| Box::pin(f(req))))
+    );
+    let ended = std::future::poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(_ended) => Poll::Ready(()),
+        Poll::Pending => io.poll_ended(cx),
+    });
+    tokio::select! {
+        () = ended => return,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    // How a connection ends is its caller's affair.
+    let _ended = connection.await;
+}
+
+/// The least room for a request's head, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
--- /dev/null
+++ b/crates/burdock-node/src/site/start.rs
@@ -0,0 +1,133 @@
+//! Starting and stopping an instance of a deployment.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_model::ids::Life;
+use burdock_model::prelude::*;
+use burdock_model::site_settings::{SiteListen, SiteSettings};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::node::Phase;
+use crate::shutdown::StopSignals;
+use crate::site::serve::{serve_callers, serve_directory};
+use crate::site::{SiteNode, fleet, sync};
+use crate::start::new_incarnation;
+
+/// The part of the time to stop after which idle connections are closed. Until then callers learn from the
+/// directory that this instance leaves.
+const CLOSE_AT: f64 = 0.55;
+
+/// The part of the time to stop after which the process ends whatever still runs.
+const END_AT: f64 = 0.93;
+
+/// How long no request must have come before a stop counts as done.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How often a stop looks whether it is done.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A running instance.
+#[derive(Debug)]
+pub struct RunningSite {
+    /// What its parts share.
+    pub node: Arc<SiteNode>,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts an instance.
+///
+/// # Errors
+/// [`ErrorKind::InvalidSettings`] with the address that can't be bound.
+pub async fn start(settings: SiteSettings) -> Result<RunningSite> {
+    let listen = settings.listen;
+    let callers = bind(listen.callers, "callers").await?;
+    let ready = bind(listen.ready, "ready").await?;
+    let directory = bind(listen.directory, "directory").await?;
+    let life = Life { instance: settings.instance.clone(), incarnation: new_incarnation() };
+    let node = Arc::new(SiteNode::new(settings, life));
+    let (stop, stopping) = watch::channel(false);
+    let tasks = vec![
+        tokio::spawn(serve_callers(Arc::clone(&node), callers, stopping.clone())),
+        tokio::spawn(serve_directory(Arc::clone(&node), ready, stopping.clone())),
+        tokio::spawn(serve_directory(Arc::clone(&node), directory, stopping)),
+        tokio::spawn(fleet::register_loop(Arc::clone(&node))),
+        tokio::spawn(sync::follow_loop(Arc::clone(&node))),
+        tokio::spawn(sync::sweep_loop(Arc::clone(&node))),
+    ];
+    Ok(RunningSite { node, stop, tasks })
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+/// When it can't be started.
+pub async fn run(settings: SiteSettings, path: &Path) -> Result<()> {
+    let mut signals = StopSignals::listen().map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+    let mut reload =
+        signal(SignalKind::hangup()).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+    let running = start(settings).await?;
+    log::info!(life:% = running.node.life; "started");
+    loop {
+        tokio::select! {
+            () = signals.next() => break,
+            _ = reload.recv() => reloaded(&running.node, path),
+        }
+    }
+    running.stop().await;
+    Ok(())
+}
+
+impl RunningSite {
+    /// Stops: out of the directory first, then connections as they come to rest, within the time to stop.
+    pub async fn stop(self) {
+        let node = &self.node;
+        let limit = node.settings.bounds.stop;
+        let began = node.clock.now();
+        log::info!(in_flight = node.in_flight(); "stop begun");
+        node.advance(Phase::Draining);
+        fleet::withdraw(node).await;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let elapsed = node.clock.now().since(began);
+            let closing = elapsed >= limit.mul_f64(CLOSE_AT);
+            if closing {
+                self.stop.send_replace(true);
+            }
+            let done = closing && node.in_flight() == 0 && node.quiet_for() >= QUIET;
+            if done || elapsed >= limit.mul_f64(END_AT) {
+                break;
+            }
+        }
+        log::info!(in_flight = node.in_flight(); "stopped");
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+// Addresses can't change while the process runs, so a changed file is checked and what differs is told.
+fn reloaded(node: &SiteNode, path: &Path) {
+    match burdock_platform::settings::load(path) {
+        Ok(settings) if settings == node.settings => log::info!("settings read again: no change"),
+        Ok(_) => log::info!("settings read again: changes take effect at the next start"),
+        Err(e) => log::warn!("settings could not be read again, the former hold: {e}"),
+    }
+}
+
+async fn bind(address: SocketAddr, what: &str) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| Error::new(ErrorKind::InvalidSettings, format!("{what}: {address}: {e}")))
+}
+
+/// Where an instance listens for readiness checks, for tests.
+#[must_use]
+pub const fn listen(running: &SiteSettings) -> SiteListen {
+    running.listen
+}
--- a/crates/burdock-node/src/start.rs
+++ b/crates/burdock-node/src/start.rs
@@ -159,7 +159,7 @@
 }
 
 // Instances keep nothing, so a life is numbered by the wall clock at its start.
-fn new_incarnation() -> Incarnation {
+pub(crate) fn new_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH + FIRST_LIFE).unwrap_or_default();
     let number = since.as_millis() / LIFE_UNIT.as_millis();
     Incarnation(u32::try_from(number).unwrap_or(u32::MAX).max(1))
