Divide allowances by demand and share requests at work over hubs

Ruled out: larger buckets on each instance, whose sum passes the allowance. Change: the instances of a region report to a hub, hubs to each other; leave for requests is asked of the hub.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod answer;
+pub mod apportion;
 pub mod cold;
 pub mod connectivity;
 pub mod headers;
--- a/crates/burdock-node/src/peers.rs
+++ b/crates/burdock-node/src/peers.rs
@@ -61,6 +61,7 @@
             }
             Ok(takes)
         }),
+        ..Handlers::none(hello(node))
     }
 }
 
--- a/crates/burdock-node/src/site/allowances.rs
+++ b/crates/burdock-node/src/site/allowances.rs
@@ -1,48 +1,124 @@
-//! What each organisation may still send through this instance.
+//! Leave that this instance holds for requests of each organisation, and the demand that it sees.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use burdock_decide::limit::{Allotment, Bucket, TOKEN};
+use burdock_decide::limit::Bucket;
 use burdock_decide::time::Time;
-use burdock_model::ids::OrganisationName;
 use burdock_model::site::Organisation;
+use burdock_wire::messages::Tally;
 
 use crate::shards::Sharded;
-use crate::site::hash_of;
+use crate::site::{SiteNode, hash_of, hub};
 
-/// Tokens that this instance may hold beyond its part of the burst, so that a small part does not refuse two
-/// requests that happen to come together.
-const EXTRA_TOKENS: f64 = 1.0;
+/// Leave that is asked for at once lasts for this much of the demand, in seconds, so that a busy organisation
+/// does not take one question for each request.
+const LEAVE_AHEAD_S: f64 = 0.15;
 
-/// Buckets of all organisations.
+/// The longest time for which an organisation without leave is refused without asking again.
+const LONGEST_REFUSAL: Duration = Duration::from_millis(200);
+
+/// A new count weighs this much in the demand.
+const DEMAND_WEIGHT: f64 = 0.3;
+
+/// Demand below this, in requests a second, is none.
+const LEAST_DEMAND: f64 = 0.01;
+
+/// What is known of all organisations.
 #[derive(Debug, Default)]
 pub struct Allowances {
-    buckets: Sharded<HashMap<OrganisationName, Bucket>>,
+    organisations: Sharded<HashMap<u64, Held>>,
+}
+
+#[derive(Debug, Default)]
+struct Held {
+    leave: Bucket,
+    refused_until: Time,
+    requests: u32,
+    counted: Time,
+    demand: f64,
+}
+
+enum Step {
+    Go,
+    Refuse(Duration),
+    Ask(u32),
 }
 
 impl Allowances {
-    /// Takes one request's token. Otherwise the time until there is one.
-    ///
-    /// # Errors
-    /// The time until the next token, where one will come.
-    pub fn take(&self, organisation: &Organisation, part: f64, now: Time) -> Result<(), Option<Duration>> {
-        if organisation.rate <= 0.0 {
-            return Ok(());
+    /// Requests a second of each organisation here.
+    #[must_use]
+    pub fn demands(&self, now: Time) -> Vec<Tally> {
+        let mut demands = Vec::new();
+        for mut shard in self.organisations.each() {
+            for (hash, held) in shard.iter_mut() {
+                held.count(now);
+                if held.demand > LEAST_DEMAND {
+                    #[expect(clippy::cast_possible_truncation, reason = "a rate needs no more digits")]
+                    demands.push(Tally { hash: *hash, amount: held.demand as f32 });
+                }
+            }
+        }
+        demands
+    }
+
+    fn step(&self, hash: u64, now: Time) -> Step {
+        let mut shard = self.organisations.lock(hash);
+        let held = shard.entry(hash).or_default();
+        held.requests += 1;
+        if held.leave.take(now) {
+            return Step::Go;
+        }
+        if now < held.refused_until {
+            return Step::Refuse(held.refused_until.since(now));
+        }
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
+        let ahead = (held.demand * LEAVE_AHEAD_S) as u32;
+        Step::Ask(1 + ahead)
+    }
+
+    // Takes in what was given. Returns whether one request may go.
+    fn given(&self, hash: u64, granted: u32, wait: Duration, now: Time) -> bool {
+        let mut shard = self.organisations.lock(hash);
+        let held = shard.entry(hash).or_default();
+        if granted == 0 {
+            held.refused_until = now + wait.min(LONGEST_REFUSAL);
+            return false;
+        }
+        held.leave.borrow(granted, now);
+        held.leave.take(now)
+    }
+}
+
+impl Held {
+    fn count(&mut self, now: Time) {
+        let elapsed = now.since(self.counted).as_secs_f64();
+        if self.counted == Time::default() || elapsed <= 0.0 {
+            self.counted = now;
+            return;
         }
-        let allotment = allotment(organisation, part);
-        let mut shard = self.buckets.lock(hash_of(organisation.name.as_str()));
-        let bucket = shard.entry(organisation.name.clone()).or_insert_with(|| Bucket::new(allotment, now));
-        bucket.set_allotment(allotment, now);
-        if bucket.take(now) { Ok(()) } else { Err(bucket.next_token(now)) }
+        self.demand += (f64::from(self.requests) / elapsed - self.demand) * DEMAND_WEIGHT;
+        self.requests = 0;
+        self.counted = now;
     }
 }
 
-fn allotment(organisation: &Organisation, part: f64) -> Allotment {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
-    let micros = |tokens: f64| (tokens * TOKEN as f64) as u64;
-    Allotment {
-        rate: micros(organisation.rate * part),
-        cap: micros(organisation.burst * part + EXTRA_TOKENS),
+/// Takes leave for one request of an organisation.
+///
+/// # Errors
+/// The time after which there may be some.
+pub async fn take(node: &Arc<SiteNode>, organisation: &Organisation) -> Result<(), Duration> {
+    if organisation.rate <= 0.0 {
+        return Ok(());
     }
+    let hash = hash_of(organisation.name.as_str());
+    let wanted = match node.allowances.step(hash, node.clock.now()) {
+        Step::Go => return Ok(()),
+        Step::Refuse(wait) => return Err(wait),
+        Step::Ask(wanted) => wanted,
+    };
+    let leave = hub::ask(node, organisation, wanted).await;
+    let wait = Duration::from_millis(u64::from(leave.wait_ms));
+    if node.allowances.given(hash, leave.granted, wait, node.clock.now()) { Ok(()) } else { Err(wait) }
 }
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -147,6 +147,12 @@
         InFlight { backend: Arc::clone(self) }
     }
 
+    /// Hash of its id.
+    #[must_use]
+    pub const fn hash(&self) -> u64 {
+        self.hash
+    }
+
     /// Requests from here at work there.
     #[must_use]
     pub fn own_in_flight(&self) -> u32 {
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -21,7 +21,7 @@
 use crate::forward::body::RequestBody;
 use crate::node::Phase;
 use crate::observe::counters::Counter;
-use crate::site::SiteNode;
+use crate::site::{SiteNode, allowances};
 use crate::site::body::AnswerBody;
 use crate::site::outbound::{Outbound, forwarded};
 use crate::site::send::{Outcome, Unanswered, run};
@@ -62,8 +62,8 @@
     incoming: Incoming,
     arrived: Time,
 ) -> Result<Response<AnswerBody>, Unanswered> {
-    let outbound = check_head(node, plan, parts, arrived)
-        .inspect_err(|e| note_refusal(node, parts, plan, e, arrived))?;
+    let checked = check(node, plan, parts, arrived).await;
+    let outbound = checked.inspect_err(|e| note_refusal(node, parts, plan, e, arrived))?;
     let body = read_body(plan, &outbound, parts, incoming, node).await?;
     let outcome = run(node, plan, &outbound, body).await;
     note(node, plan, &outbound, &outcome);
@@ -72,8 +72,8 @@
     Ok(answered.resp)
 }
 
-fn check_head<'a>(
-    node: &SiteNode,
+async fn check<'a>(
+    node: &Arc<SiteNode>,
     plan: &'a PlanIndex,
     parts: &Parts,
     arrived: Time,
@@ -89,8 +89,7 @@
         route.ok_or_else(|| refused(ErrorKind::NoRoute, &format!("no route for `{host}{path}`"), None))?;
     let organisation = organisation(node, plan, route, &parts.headers)?;
     if let Some(organisation) = organisation {
-        let part = 1.0 / node.fleet.expected_instances().max(1) as f64;
-        node.allowances.take(organisation, part, arrived).map_err(|wait| over_rate(organisation, wait))?;
+        allowances::take(node, organisation).await.map_err(|wait| over_rate(organisation, wait))?;
     }
     let given = header(&parts.headers, &node.dialect.deadline_ms).and_then(|v| v.parse().ok());
     let given = given.map_or(LONGEST, Duration::from_millis);
@@ -115,17 +114,13 @@
 /// read one.
 const STARTING_PAUSE: Duration = Duration::from_millis(300);
 
-/// The longest time after which a caller over its rate is asked to come back.
-const LONGEST_OVER_RATE: Duration = Duration::from_secs(2);
+/// The shortest and the longest time, beyond the wait for a token, after which a caller over its rate is asked
+/// to come back: those who were refused together don't return together.
+const OVER_RATE_PAUSE_MS: std::ops::Range<u64> = 200..700;
 
-fn over_rate(organisation: &Organisation, wait: Option<Duration>) -> Unanswered {
-    let wait = wait.unwrap_or(LONGEST_OVER_RATE).min(LONGEST_OVER_RATE);
-    let spread = rand::random_range(1.0..2.0);
-    refused(
-        ErrorKind::OverRate,
-        &format!("`{}` is over its rate", organisation.name),
-        Some(wait.mul_f64(spread)),
-    )
+fn over_rate(organisation: &Organisation, wait: Duration) -> Unanswered {
+    let pause = wait + Duration::from_millis(rand::random_range(OVER_RATE_PAUSE_MS));
+    refused(ErrorKind::OverRate, &format!("`{}` is over its rate", organisation.name), Some(pause))
 }
 
 fn organisation<'a>(
--- /dev/null
+++ b/crates/burdock-node/src/site/hub.rs
@@ -0,0 +1,309 @@
+//! What instances tell each other of their traffic, and the leave that they ask of each other.
+//!
+//! The instances of a region report to one of them, its hub. Hubs of different regions report to each other.
+//! Any instance answers as a hub whoever asks it; one that reaches no other is its own hub. A hub is lost
+//! without harm: the next in order takes over with what is reported to it from then on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::apportion::{ApportionView, hub_order, part};
+use burdock_decide::limit::{Allotment, Bucket, TOKEN};
+use burdock_decide::time::Time;
+use burdock_model::prelude::*;
+use burdock_model::site::{Organisation, RegisteredInstance};
+use burdock_wire::messages::{Hello, Leave, LeaveQuestion, PeerAddress, Tally, Traffic};
+use burdock_wire::server::{Handler, Handlers};
+use futures::FutureExt;
+use parking_lot::Mutex;
+
+use crate::site::{SiteNode, hash_of};
+
+/// Time between two reports: within it a few requests are placed at each backend server.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest that a report may take within a region, and between regions.
+const REPORT_LIMIT: Duration = Duration::from_millis(700);
+
+/// The longest wait for leave, small against every latency target.
+const LEAVE_LIMIT: Duration = Duration::from_millis(150);
+
+/// How long a hub that did not answer is passed over.
+const HUB_OUT_FOR: Duration = Duration::from_millis(2000);
+
+/// How long a report counts.
+const REPORT_KEPT: Duration = Duration::from_millis(1100);
+
+/// How long the demand of another hub counts after its last report: it may go on serving that share while
+/// nobody hears of it.
+const DEMAND_KEPT: Duration = Duration::from_secs(10);
+
+/// What this instance knows as a hub, and of hubs.
+#[derive(Debug, Default)]
+pub struct Hub {
+    state: Mutex<State>,
+    out_until: Mutex<HashMap<InstanceId, Time>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    followers: HashMap<InstanceId, Heard>,
+    hubs: HashMap<InstanceId, Heard>,
+    buckets: HashMap<u64, Bucket>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Time,
+    traffic: Traffic,
+}
+
+impl Hub {
+    /// The instance of a region to report to; none when this instance is to be its own hub.
+    #[must_use]
+    pub fn hub_of(&self, node: &SiteNode, region: &RegionName) -> Option<PeerAddress> {
+        let now = node.clock.now();
+        let out = self.out_until.lock();
+        let listed = node.fleet.listed();
+        let members: Vec<&RegisteredInstance> = listed.iter().filter(|i| i.region == *region).collect();
+        let order = hub_order(region.as_str(), members.into_iter(), |i| i.id.as_str());
+        let first = order.into_iter().find(|i| out.get(&i.id).is_none_or(|until| now >= *until))?;
+        (first.id != node.life.instance).then(|| PeerAddress { id: first.id.clone(), address: first.peers })
+    }
+
+    /// Passes a hub over for a while.
+    pub fn set_out(&self, id: &InstanceId, now: Time) {
+        self.out_until.lock().insert(id.clone(), now + HUB_OUT_FOR);
+    }
+
+    /// Takes in a report and answers it.
+    #[must_use]
+    pub fn heard(&self, own: &InstanceId, traffic: Traffic, now: Time) -> Traffic {
+        let mut state = self.state.lock();
+        let (sender, from_hub) = (traffic.sender.clone(), traffic.from_hub);
+        let heard = Heard { at: now, traffic };
+        if from_hub {
+            state.hubs.insert(sender, heard);
+            return state.summary(own, now);
+        }
+        state.followers.insert(sender.clone(), heard);
+        let at_work = tallies(&state.at_work(Some(&sender), now));
+        Traffic { sender: own.clone(), instances: 0, demands: Vec::new(), at_work, from_hub: false }
+    }
+
+    /// Takes in another hub's answer.
+    pub fn heard_hub(&self, traffic: Traffic, now: Time) {
+        self.state.lock().hubs.insert(traffic.sender.clone(), Heard { at: now, traffic });
+    }
+
+    /// What this hub tells other hubs.
+    #[must_use]
+    pub fn summary(&self, own: &InstanceId, now: Time) -> Traffic {
+        self.state.lock().summary(own, now)
+    }
+
+    /// Gives leave for requests of an organisation.
+    #[must_use]
+    pub fn give_leave(&self, organisation: &Organisation, wanted: u32, expected: usize, now: Time) -> Leave {
+        let mut state = self.state.lock();
+        let bucket = state.bucket(organisation, expected, now);
+        let granted = bucket.lend(wanted, true, now);
+        let wait = if granted > 0 { None } else { bucket.next_token(now) };
+        let wait_ms = wait.map_or(0, |wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+        Leave { granted, wait_ms }
+    }
+
+    /// Sets every organisation's allotment anew, and forgets what is too old.
+    pub fn refresh(&self, organisations: &[Organisation], expected: usize, now: Time) {
+        let mut state = self.state.lock();
+        state.followers.retain(|_, heard| now.since(heard.at) < REPORT_KEPT);
+        state.hubs.retain(|_, heard| now.since(heard.at) < DEMAND_KEPT);
+        for organisation in organisations.iter().filter(|o| o.rate > 0.0) {
+            state.bucket(organisation, expected, now);
+        }
+    }
+}
+
+impl State {
+    fn bucket(&mut self, organisation: &Organisation, expected: usize, now: Time) -> &mut Bucket {
+        let hash = hash_of(organisation.name.as_str());
+        let own_demand = demand(self.followers.values(), hash);
+        let other_demand = demand(self.hubs.values(), hash);
+        let own_instances = self.followers.len().max(1) as f64;
+        let others: u32 = self.hubs.values().map(|h| h.traffic.instances).sum();
+        let part = part(&ApportionView {
+            own_demand,
+            total_demand: own_demand + other_demand,
+            own_instances,
+            heard_instances: own_instances + f64::from(others),
+            expected_instances: expected as f64,
+        });
+        let allotment = allotment(organisation, part);
+        let bucket = self.buckets.entry(hash).or_insert_with(|| Bucket::new(allotment, now));
+        bucket.set_allotment(allotment, now);
+        bucket
+    }
+
+    fn at_work(&self, without: Option<&InstanceId>, now: Time) -> HashMap<u64, f32> {
+        let mut sum = HashMap::new();
+        let followers = self.followers.iter().filter(|(id, _)| Some(*id) != without).map(|(_, heard)| heard);
+        for heard in followers.chain(self.hubs.values()).filter(|h| now.since(h.at) < REPORT_KEPT) {
+            add(&mut sum, &heard.traffic.at_work);
+        }
+        sum
+    }
+
+    fn summary(&self, own: &InstanceId, now: Time) -> Traffic {
+        let (mut demands, mut at_work) = (HashMap::new(), HashMap::new());
+        for heard in self.followers.values().filter(|h| now.since(h.at) < REPORT_KEPT) {
+            add(&mut demands, &heard.traffic.demands);
+            add(&mut at_work, &heard.traffic.at_work);
+        }
+        Traffic {
+            sender: own.clone(),
+            instances: u32::try_from(self.followers.len()).unwrap_or(u32::MAX),
+            demands: tallies(&demands),
+            at_work: tallies(&at_work),
+            from_hub: true,
+        }
+    }
+}
+
+/// What answers the calls of other instances.
+#[must_use]
+pub fn handlers(node: &Arc<SiteNode>) -> Handlers {
+    let hello = hello(node);
+    Handlers {
+        report: on(node, |node, traffic| Ok(node.hub.heard(&node.life.instance, traffic, node.clock.now()))),
+        take_leave: on(node, |node, question: LeaveQuestion| Ok(leave(node, &question))),
+        ..Handlers::none(hello)
+    }
+}
+
+/// How this instance introduces itself.
+#[must_use]
+pub fn hello(node: &SiteNode) -> Hello {
+    Hello { life: node.life.clone(), region: node.settings.region.clone(), zone: node.settings.zone.clone() }
+}
+
+/// Reports this instance's traffic, and as a hub that of its followers, again and again.
+pub async fn report_loop(node: Arc<SiteNode>) {
+    let mut tick = tokio::time::interval(REPORT_INTERVAL);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        report(&node).await;
+    }
+}
+
+async fn report(node: &Arc<SiteNode>) {
+    let now = node.clock.now();
+    let plan = node.plan.load();
+    node.hub.refresh(&plan.plan.organisations, node.fleet.expected_instances(), now);
+    let traffic = Traffic {
+        sender: node.life.instance.clone(),
+        instances: 1,
+        demands: node.allowances.demands(now),
+        at_work: node.table.at_work(),
+        from_hub: false,
+    };
+    let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
+        let answer = node.hub.heard(&node.life.instance, traffic, now);
+        node.table.set_elsewhere(&answer.at_work);
+        report_to_hubs(node).await;
+        return;
+    };
+    match node.peers.report(&hub, traffic, REPORT_LIMIT).await {
+        Ok(answer) => node.table.set_elsewhere(&answer.at_work),
+        Err(e) => {
+            log::info!(hub = hub.id.as_str(); "the hub does not answer: {e:?}");
+            node.hub.set_out(&hub.id, node.clock.now());
+            node.table.set_elsewhere(&[]);
+        }
+    }
+}
+
+// Each pair of regions talks once: the first in order of name asks.
+async fn report_to_hubs(node: &Arc<SiteNode>) {
+    let own = &node.settings.region;
+    let mut regions: Vec<&RegionName> = node.settings.regions.values().filter(|r| *r > own).collect();
+    regions.dedup();
+    regions.sort();
+    regions.dedup();
+    let calls = regions.into_iter().filter_map(|region| {
+        let hub = node.hub.hub_of(node, region)?;
+        Some(async move {
+            let summary = node.hub.summary(&node.life.instance, node.clock.now());
+            match node.peers.report(&hub, summary, REPORT_LIMIT).await {
+                Ok(answer) => node.hub.heard_hub(answer, node.clock.now()),
+                Err(e) => {
+                    log::info!(hub = hub.id.as_str(); "the hub of another region does not answer: {e:?}");
+                    node.hub.set_out(&hub.id, node.clock.now());
+                }
+            }
+        })
+    });
+    futures::future::join_all(calls).await;
+}
+
+/// Asks for leave to pass on requests of an organisation: the hub, or this instance where it is its own.
+pub async fn ask(node: &Arc<SiteNode>, organisation: &Organisation, wanted: u32) -> Leave {
+    let expected = node.fleet.expected_instances();
+    if let Some(hub) = node.hub.hub_of(node, &node.settings.region) {
+        let question = LeaveQuestion {
+            sender: node.life.instance.clone(),
+            organisation: hash_of(organisation.name.as_str()),
+            wanted,
+        };
+        match node.peers.take_leave(&hub, question, LEAVE_LIMIT).await {
+            Ok(leave) => return leave,
+            Err(e) => {
+                log::info!(hub = hub.id.as_str(); "the hub gives no leave: {e:?}");
+                node.hub.set_out(&hub.id, node.clock.now());
+            }
+        }
+    }
+    node.hub.give_leave(organisation, wanted, expected, node.clock.now())
+}
+
+fn leave(node: &SiteNode, question: &LeaveQuestion) -> Leave {
+    let plan = node.plan.load();
+    let found = plan.plan.organisations.iter().find(|o| hash_of(o.name.as_str()) == question.organisation);
+    let Some(organisation) = found else {
+        return Leave::default();
+    };
+    let expected = node.fleet.expected_instances();
+    node.hub.give_leave(organisation, question.wanted, expected, node.clock.now())
+}
+
+fn on<A, R, F>(node: &Arc<SiteNode>, f: F) -> Handler<A, R>
+where
+    F: Fn(&SiteNode, A) -> Result<R> + Send + Sync + 'static,
+    R: Send + 'static,
+{
+    let node = Arc::clone(node);
+    Arc::new(move |arg| std::future::ready(f(&node, arg)).boxed())
+}
+
+fn demand<'a>(heard: impl Iterator<Item = &'a Heard>, hash: u64) -> f64 {
+    let found = heard.flat_map(|h| &h.traffic.demands).filter(|t| t.hash == hash);
+    found.map(|t| f64::from(t.amount)).sum()
+}
+
+fn add(sum: &mut HashMap<u64, f32>, tallies: &[Tally]) {
+    for tally in tallies {
+        *sum.entry(tally.hash).or_default() += tally.amount;
+    }
+}
+
+fn tallies(sum: &HashMap<u64, f32>) -> Vec<Tally> {
+    sum.iter().filter(|(_, amount)| **amount > 0.0).map(|(hash, amount)| Tally { hash: *hash, amount: *amount }).collect()
+}
+
+fn allotment(organisation: &Organisation, part: f64) -> Allotment {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
+    let micros = |tokens: f64| (tokens * TOKEN as f64) as u64;
+    // At least one token fits, or a small part would never let a request through.
+    Allotment { rate: micros(organisation.rate * part), cap: micros((organisation.burst * part).max(1.0)) }
+}
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod handle;
+pub mod hub;
 pub mod outbound;
 pub mod read_ahead;
 pub mod send;
@@ -30,6 +31,7 @@
 use burdock_model::site_settings::SiteSettings;
 use burdock_platform::dialect::Dialect;
 use burdock_platform::kv::Kv;
+use burdock_wire::client::Peers;
 
 use crate::clock::Clock;
 use crate::node::Phase;
@@ -37,6 +39,7 @@
 use crate::shards::Sharded;
 use crate::site::allowances::Allowances;
 use crate::site::fleet::SiteFleet;
+use crate::site::hub::Hub;
 use crate::site::table::BackendTable;
 
 /// One running instance of a deployment.
@@ -58,7 +61,11 @@
     pub table: BackendTable,
     /// The instances of the deployment.
     pub fleet: SiteFleet,
-    /// Rates and bursts of organisations.
+    /// Calls to other instances.
+    pub peers: Peers,
+    /// What instances tell each other.
+    pub hub: Hub,
+    /// Leave to pass on requests of organisations.
     pub allowances: Allowances,
     /// Counters.
     pub counters: Counters,
@@ -89,7 +96,7 @@
 impl SiteNode {
     /// An instance that has no configuration yet.
     #[must_use]
-    pub fn new(settings: SiteSettings, life: Life) -> Self {
+    pub fn new(settings: SiteSettings, life: Life, peers: Peers) -> Self {
         let clock = Clock::start();
         Self {
             kv: Kv::new(settings.store),
@@ -99,6 +106,8 @@
             clock,
             dialect: Dialect::platform(),
             plan: ArcSwap::default(),
+            peers,
+            hub: Hub::default(),
             allowances: Allowances::default(),
             counters: Counters::default(),
             budgets: Sharded::default(),
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -8,6 +8,8 @@
 use burdock_model::ids::Life;
 use burdock_model::prelude::*;
 use burdock_model::site_settings::{SiteListen, SiteSettings};
+use burdock_wire::client::Peers;
+use burdock_wire::messages::Hello;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -16,7 +18,7 @@
 use crate::node::Phase;
 use crate::shutdown::StopSignals;
 use crate::site::serve::{serve_callers, serve_directory};
-use crate::site::{SiteNode, fleet, sync};
+use crate::site::{SiteNode, fleet, hub, sync};
 use crate::start::new_incarnation;
 
 /// The part of the time to stop after which idle connections are closed. Until then callers learn from the
@@ -29,6 +31,9 @@
 /// How long no request must have come before a stop counts as done.
 const QUIET: Duration = Duration::from_millis(300);
 
+/// Threads for sessions with other instances: one carries some thousand messages a second.
+const PEER_THREADS: usize = 1;
+
 /// How often a stop looks whether it is done.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -51,7 +56,10 @@
     let ready = bind(listen.ready, "ready").await?;
     let directory = bind(listen.directory, "directory").await?;
     let life = Life { instance: settings.instance.clone(), incarnation: new_incarnation() };
-    let node = Arc::new(SiteNode::new(settings, life));
+    let inner = bind(listen.peers, "peers").await?;
+    let hello = Hello { life: life.clone(), region: settings.region.clone(), zone: settings.zone.clone() };
+    let peers = Peers::start(hello, PEER_THREADS).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
+    let node = Arc::new(SiteNode::new(settings, life, peers));
     let (stop, stopping) = watch::channel(false);
     let tasks = vec![
         tokio::spawn(serve_callers(Arc::clone(&node), callers, stopping.clone())),
@@ -60,6 +68,8 @@
         tokio::spawn(fleet::register_loop(Arc::clone(&node))),
         tokio::spawn(sync::follow_loop(Arc::clone(&node))),
         tokio::spawn(sync::sweep_loop(Arc::clone(&node))),
+        tokio::spawn(burdock_wire::server::serve(inner, node.peers.clone(), hub::handlers(&node))),
+        tokio::spawn(hub::report_loop(Arc::clone(&node))),
     ];
     Ok(RunningSite { node, stop, tasks })
 }
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -135,6 +135,25 @@
   refused @2 :Bool;
 }
 
+# An amount of something that both ends know by the hash of its name.
+struct Tally {
+  hash @0 :UInt64;
+  amount @1 :Float32;
+}
+
+# What an instance, or a hub for those that report to it, tells of its traffic; and a hub's answer.
+struct Traffic {
+  sender @0 :Text;
+  # Instances that it speaks for; 0 in an answer to one of them.
+  instances @1 :UInt32;
+  # Requests a second of each organisation.
+  demands @2 :List(Tally);
+  # Requests at work at each backend server; in an answer, those of all others.
+  atWork @3 :List(Tally);
+  # The sender is a hub and speaks to another one.
+  fromHub @4 :Bool;
+}
+
 interface Peer {
   hello @0 (hello :Hello) -> (hello :Hello);
   exchange @1 (exchange :Exchange) -> (exchange :Exchange);
@@ -152,4 +171,8 @@
   handOver @9 (left :List(Life), records :List(OnceRecord)) -> (taken :Bool);
   # An announced change was certainly not written: the promise is void.
   withdrawChange @10 (change :Text) -> ();
+  # Traffic of the sender; the answer is that of the others.
+  report @11 (traffic :Traffic) -> (traffic :Traffic);
+  # Asks a hub for leave to pass on requests of an organisation.
+  takeLeave @12 (sender :Text, organisation :UInt64, wanted :UInt32) -> (granted :UInt32, waitMs :UInt32);
 }
--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -19,8 +19,8 @@
 
 use crate::convert;
 use crate::messages::{
-    Configuration, Exchange, Hello, Loan, OnceRecord, PeerAddress, PeerError, RelayedRequest, ShareBucket,
-    WholeAnswer,
+    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, PeerAddress, PeerError, RelayedRequest, ShareBucket,
+    Traffic, WholeAnswer,
 };
 use crate::peer_capnp::peer;
 use crate::threads::{LocalState, SessionThreads};
@@ -194,6 +194,47 @@
         .await
     }
 
+    /// Tells a hub of this instance's traffic, and hears of the others'.
+    ///
+    /// # Errors
+    /// When the other instance does not answer in time.
+    pub async fn report(
+        &self,
+        to: &PeerAddress,
+        traffic: Traffic,
+        limit: Duration,
+    ) -> Result<Traffic, PeerError> {
+        self.call(to, limit, move |client| async move {
+            let mut req = client.report_request();
+            convert::write_traffic(&traffic, req.get().init_traffic());
+            let resp = req.send().promise.await?;
+            convert::read_traffic(resp.get()?.get_traffic()?)
+        })
+        .await
+    }
+
+    /// Asks a hub for leave to pass on requests.
+    ///
+    /// # Errors
+    /// When the other instance does not answer in time; leave that it gave is lost then.
+    pub async fn take_leave(
+        &self,
+        to: &PeerAddress,
+        question: LeaveQuestion,
+        limit: Duration,
+    ) -> Result<Leave, PeerError> {
+        self.call(to, limit, move |client| async move {
+            let mut req = client.take_leave_request();
+            req.get().set_sender(question.sender.as_str());
+            req.get().set_organisation(question.organisation);
+            req.get().set_wanted(question.wanted);
+            let resp = req.send().promise.await?;
+            let resp = resp.get()?;
+            Ok(Leave { granted: resp.get_granted(), wait_ms: resp.get_wait_ms() })
+        })
+        .await
+    }
+
     /// Has another instance run a request.
     ///
     /// # Errors
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -11,7 +11,7 @@
 
 use crate::messages::{
     Configuration, Exchange, Hello, Loan, MAX_MESSAGE_BYTES, OnceRecord, PROTOCOL_VERSION, RelayedRequest,
-    ShareBucket, WholeAnswer,
+    ShareBucket, Tally, Traffic, WholeAnswer,
 };
 use crate::peer_capnp as wire;
 
@@ -215,6 +215,36 @@
     Ok(ShareBucket { bucket: from.get_bucket(), version: from.get_version(), records })
 }
 
+pub fn write_traffic(traffic: &Traffic, mut to: wire::traffic::Builder<'_>) {
+    to.set_sender(traffic.sender.as_str());
+    to.set_instances(traffic.instances);
+    to.set_from_hub(traffic.from_hub);
+    write_tallies(&traffic.demands, to.reborrow().init_demands(count(&traffic.demands)));
+    write_tallies(&traffic.at_work, to.init_at_work(count(&traffic.at_work)));
+}
+
+pub fn read_traffic(from: wire::traffic::Reader<'_>) -> Result<Traffic> {
+    Ok(Traffic {
+        sender: InstanceId::new(str_of(from.get_sender()?)?).map_err(|e| WireError::failed(e.to_string()))?,
+        instances: from.get_instances(),
+        demands: from.get_demands()?.iter().map(read_tally).collect(),
+        at_work: from.get_at_work()?.iter().map(read_tally).collect(),
+        from_hub: from.get_from_hub(),
+    })
+}
+
+fn write_tallies(tallies: &[Tally], mut to: capnp::struct_list::Builder<'_, wire::tally::Owned>) {
+    for (ix, tally) in (0..).zip(tallies) {
+        let mut to = to.reborrow().get(ix);
+        to.set_hash(tally.hash);
+        to.set_amount(tally.amount);
+    }
+}
+
+fn read_tally(from: wire::tally::Reader<'_>) -> Tally {
+    Tally { hash: from.get_hash(), amount: from.get_amount() }
+}
+
 pub fn write_loan(loan: &Loan, mut to: wire::loan::Builder<'_>) {
     to.set_granted(loan.granted);
     to.set_left(loan.left);
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -57,6 +57,50 @@
     pub splits: Vec<Split>,
 }
 
+/// An amount of something that both ends know by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tally {
+    /// Hash of the name.
+    pub hash: u64,
+    /// The amount.
+    pub amount: f32,
+}
+
+/// What an instance, or a hub for those that report to it, tells of its traffic; and a hub's answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Traffic {
+    /// Who tells.
+    pub sender: InstanceId,
+    /// Instances that it speaks for; 0 in an answer to one of them.
+    pub instances: u32,
+    /// Requests a second of each organisation.
+    pub demands: Vec<Tally>,
+    /// Requests at work at each backend server; in an answer, those of all others.
+    pub at_work: Vec<Tally>,
+    /// The sender is a hub and speaks to another one.
+    pub from_hub: bool,
+}
+
+/// A question for leave to pass on requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaveQuestion {
+    /// Who asks.
+    pub sender: InstanceId,
+    /// Hash of the organisation's name.
+    pub organisation: u64,
+    /// Requests to pass on.
+    pub wanted: u32,
+}
+
+/// Leave to pass on requests of an organisation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Leave {
+    /// Requests that may be passed on now.
+    pub granted: u32,
+    /// Milliseconds after which there may be more.
+    pub wait_ms: u32,
+}
+
 /// A head with some of its blobs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Configuration {
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use burdock_model::error::{Error, Result};
+use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::ids::{InstanceId, Life, Revision};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::FutureExt;
@@ -16,7 +16,8 @@
 use crate::client::Peers;
 use crate::convert;
 use crate::messages::{
-    Configuration, Exchange, Hello, Loan, OnceRecord, RelayedRequest, ShareBucket, WholeAnswer,
+    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, RelayedRequest, ShareBucket, Traffic,
+    WholeAnswer,
 };
 use crate::peer_capnp::peer;
 
@@ -51,6 +52,37 @@
     pub relay: Handler<RelayedRequest, WholeAnswer>,
     /// What an instance that leaves knew.
     pub hand_over: Handler<(Vec<Life>, Vec<OnceRecord>), bool>,
+    /// Traffic of another instance.
+    pub report: Handler<Traffic, Traffic>,
+    /// Leave to pass on requests.
+    pub take_leave: Handler<LeaveQuestion, Leave>,
+}
+
+impl Handlers {
+    /// Handlers that refuse every call but the hello, to be replaced one by one.
+    #[must_use]
+    pub fn none(hello: Hello) -> Self {
+        Self {
+            hello,
+            exchange: refuse(),
+            configuration: refuse(),
+            head_changed: refuse(),
+            announce_change: refuse(),
+            withdraw_change: refuse(),
+            shares: refuse(),
+            acting_shares: refuse(),
+            lend: refuse(),
+            relay: refuse(),
+            hand_over: refuse(),
+            report: refuse(),
+            take_leave: refuse(),
+        }
+    }
+}
+
+fn refuse<A, R: Send + 'static>() -> Handler<A, R> {
+    let error = || Error::new(ErrorKind::BadRequest, "this instance does not answer this call");
+    Arc::new(move |_| std::future::ready(Err(error())).boxed())
 }
 
 impl std::fmt::Debug for Handlers {
@@ -240,6 +272,32 @@
         results.get().set_taken(taken);
         Ok(())
     }
+
+    async fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> capnp::Result<()> {
+        let traffic = convert::read_traffic(params.get()?.get_traffic()?)?;
+        let answer = self.run(&self.handlers.report, traffic).await?;
+        convert::write_traffic(&answer, results.get().init_traffic());
+        Ok(())
+    }
+
+    async fn take_leave(
+        self: Rc<Self>,
+        params: peer::TakeLeaveParams,
+        mut results: peer::TakeLeaveResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let sender =
+            InstanceId::new(convert::str_of(params.get_sender()?)?).map_err(|e| failed(&e.to_string()))?;
+        let (organisation, wanted) = (params.get_organisation(), params.get_wanted());
+        let leave = self.run(&self.handlers.take_leave, LeaveQuestion { sender, organisation, wanted }).await?;
+        results.get().set_granted(leave.granted);
+        results.get().set_wait_ms(leave.wait_ms);
+        Ok(())
+    }
 }
 
 fn failed(detail: &str) -> capnp::Error {
--- a/crates/burdock-wire/tests/sessions.rs
+++ b/crates/burdock-wire/tests/sessions.rs
@@ -8,7 +8,7 @@
 use burdock_model::ids::{BackendId, Incarnation, InstanceId, Life, RegionName, Revision, ZoneName};
 use burdock_wire::client::Peers;
 use burdock_wire::messages::{Exchange, Hello, Loan, PeerAddress, RelayedRequest, WholeAnswer};
-use burdock_wire::server::{Handler, Handlers, serve};
+use burdock_wire::server::{Handlers, serve};
 use futures::FutureExt;
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
@@ -55,20 +55,9 @@
     }
 }
 
-fn never<A: Send + 'static, R: Send + 'static>() -> Handler<A, R> {
-    Arc::new(|_| std::future::ready(Err(Error::from(ErrorKind::Internal))).boxed())
-}
-
 fn handlers() -> Handlers {
     Handlers {
-        hello: hello("b"),
         exchange: Arc::new(|theirs| std::future::ready(Ok(theirs)).boxed()),
-        configuration: never(),
-        head_changed: never(),
-        announce_change: never(),
-        withdraw_change: never(),
-        shares: never(),
-        acting_shares: never(),
         lend: Arc::new(|(_, wanted)| {
             let loan = Loan { granted: wanted, left: 1, refused: false };
             async move {
@@ -84,7 +73,7 @@
             };
             std::future::ready(result).boxed()
         }),
-        hand_over: never(),
+        ..Handlers::none(hello("b"))
     }
 }
 
