Give each object two homes over all regions

Cause: with homes in every region an object had up to six, a backend server more objects than it keeps warm, and most work was cold; once cold the queues sent still more work to cold places. Change: two homes by weighted rendezvous rank, others only where slots are idle; a request that will miss its target only takes idle slots; usual working time from the shorter measurements.

--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -1,13 +1,29 @@
 //! Which backend server takes a request, when one that ran the same object lately works faster.
 //!
-//! Each object has a home in each region by rendezvous rank, so that all instances send it to the same few
+//! Each object has a few homes by weighted rendezvous rank, so that all instances of a region send it to the same
 //! backend servers without talking about it. Load, distance and measured slowness move it elsewhere.
 
-/// Working time at a backend server that is not known to have run the object lately, relative to one that has.
+/// Working time at a backend server that has not run the object lately, relative to one that has.
 const COLD_FACTOR: f64 = 3.0;
 
-/// The same for the second in rank, which gets the object whenever the first is full.
-const SECOND_FACTOR: f64 = 1.5;
+/// The working time to reckon with at each of an object's homes, relative to the first: a later one ran the object
+/// lately only if the first was full.
+const HOME_FACTORS: [f64; HOMES] = [1.0, 1.5];
+
+/// Homes of each object. With more of them a backend server would get more objects than it can keep warm, and
+/// then all its work is cold.
+const HOMES: usize = 2;
+
+/// Weight of a backend server of the own region when homes are ranked, relative to one of another region.
+const NEAR_WEIGHT: f64 = 5.0;
+
+/// Requests for each slot up to which a backend server takes objects that it is no home of: a cold run takes as
+/// much work as several warm ones, so only idle slots are spent on it.
+const STRANGER_CROWDING: f64 = 0.5;
+
+/// Requests for each slot up to which a backend server takes a request that will miss its target anyway: it
+/// must not make those wait that can still meet theirs.
+const LATE_CROWDING: f64 = 1.0;
 
 /// The part of a working time that a full backend server adds before any request waits there: among backend
 /// servers that are alike otherwise, the emptier one is taken.
@@ -21,8 +37,8 @@
 pub struct Candidate {
     /// Hash of its id.
     pub id_hash: u64,
-    /// Its region, as a small number.
-    pub region: usize,
+    /// It is in the region of this instance.
+    pub is_near: bool,
     /// Time there and back.
     pub round_trip_ms: f64,
     /// Requests it works on at once.
@@ -52,6 +68,8 @@
     pub queue_ms: f64,
     /// Requests that may be at a backend server for each of its slots.
     pub crowding: f64,
+    /// Time left until the answer is late for its caller.
+    pub target_ms: f64,
     /// Uniform over all `u64`; decides ties.
     pub draw: u64,
 }
@@ -63,17 +81,23 @@
     pub ix: usize,
     /// The time to expect until its answer is here.
     pub expected_ms: f64,
+    /// All slots were taken, so that it has to wait there.
+    pub queued: bool,
+    /// Requests that were reckoned to be there.
+    pub load: u32,
+    /// Its rank among the object's homes in its region; none where it is no home.
+    pub rank: Option<usize>,
 }
 
 /// The place with the least expected time; none when all are closed or too crowded.
 ///
 /// ```
 /// use burdock_decide::place::*;
-/// let near = Candidate { id_hash: 1, region: 0, round_trip_ms: 1.0, slots: 2, load: 0, slowness: 1.0,
+/// let near = Candidate { id_hash: 1, is_near: true, round_trip_ms: 1.0, slots: 2, load: 0, slowness: 1.0,
 ///     failing: 0.0, is_warm: true, is_open: true };
-/// let far = Candidate { id_hash: 2, region: 1, round_trip_ms: 100.0, ..near };
+/// let far = Candidate { id_hash: 2, is_near: false, round_trip_ms: 100.0, ..near };
 /// let view = PlaceView { candidates: &[near, far], object: Some(9), work_ms: 50.0, queue_ms: 50.0,
-///     crowding: 3.0, draw: 0 };
+///     crowding: 3.0, target_ms: 500.0, draw: 0 };
 /// assert_eq!(place(&view).unwrap().ix, 0);
 /// let crowded = [Candidate { load: 6, ..near }, far];
 /// assert_eq!(place(&PlaceView { candidates: &crowded, ..view }).unwrap().ix, 1);
@@ -87,12 +111,17 @@
     for step in 0..count {
         let ix = (start + step) % count;
         let candidate = &view.candidates[ix];
-        if !candidate.is_open || !has_room(candidate, view.crowding) {
+        let kinship = homes.kinship(ix, candidate);
+        if !candidate.is_open || !has_room(candidate, kinship.crowding(view.crowding)) {
+            continue;
+        }
+        let expected_ms = expected_ms(candidate, kinship.factor(), view);
+        if expected_ms > view.target_ms && !has_room(candidate, LATE_CROWDING) {
             continue;
         }
-        let expected_ms = expected_ms(candidate, homes.factor(ix, candidate), view);
         if best.is_none_or(|b| expected_ms < b.expected_ms) {
-            best = Some(Place { ix, expected_ms });
+            let queued = !has_room(candidate, 1.0);
+            best = Some(Place { ix, expected_ms, queued, load: candidate.load, rank: kinship.rank() });
         }
     }
     best
@@ -110,42 +139,83 @@
     }
 }
 
-// The first and second in rank of each region.
-struct Homes(Vec<[Option<(u64, usize)>; 2]>);
+// How a backend server stands to an object.
+#[derive(Clone, Copy)]
+enum Kinship {
+    // It works alike on all objects, or ran this one lately.
+    Warm,
+    // One of the object's homes, by rank.
+    Home(usize),
+    Stranger,
+}
+
+impl Kinship {
+    const fn rank(self) -> Option<usize> {
+        match self {
+            Self::Home(rank) => Some(rank),
+            Self::Warm | Self::Stranger => None,
+        }
+    }
+
+    const fn factor(self) -> f64 {
+        match self {
+            Self::Warm => 1.0,
+            Self::Home(rank) => HOME_FACTORS[rank],
+            Self::Stranger => COLD_FACTOR,
+        }
+    }
+
+    const fn crowding(self, usual: f64) -> f64 {
+        match self {
+            Self::Warm | Self::Home(_) => usual,
+            Self::Stranger => usual.min(STRANGER_CROWDING),
+        }
+    }
+}
+
+// The homes of an object, best first.
+struct Homes(Option<[Option<(f64, usize)>; HOMES]>);
 
 impl Homes {
     fn of(view: &PlaceView<'_>) -> Self {
-        let mut regions: Vec<[Option<(u64, usize)>; 2]> = Vec::new();
         let Some(object) = view.object else {
-            return Self(regions);
+            return Self(None);
         };
+        let mut homes: [Option<(f64, usize)>; HOMES] = [None; HOMES];
         for (ix, candidate) in view.candidates.iter().enumerate().filter(|(_, c)| c.is_open) {
-            if regions.len() <= candidate.region {
-                regions.resize(candidate.region + 1, [None; 2]);
-            }
-            let rank = mix(object ^ candidate.id_hash);
-            let [first, second] = &mut regions[candidate.region];
-            if first.is_none_or(|(r, _)| rank > r) {
-                *second = *first;
-                *first = Some((rank, ix));
-            } else if second.is_none_or(|(r, _)| rank > r) {
-                *second = Some((rank, ix));
+            let mut next = (score(object, candidate), ix);
+            for home in &mut homes {
+                match home {
+                    Some(held) if held.0 >= next.0 => {}
+                    Some(held) => std::mem::swap(held, &mut next),
+                    None => {
+                        *home = Some(next);
+                        break;
+                    }
+                }
             }
         }
-        Self(regions)
+        Self(Some(homes))
     }
 
-    fn factor(&self, ix: usize, candidate: &Candidate) -> f64 {
-        let Some([first, second]) = self.0.get(candidate.region) else {
-            return 1.0;
+    fn kinship(&self, ix: usize, candidate: &Candidate) -> Kinship {
+        let Some(homes) = self.0.as_ref().filter(|_| !candidate.is_warm) else {
+            return Kinship::Warm;
         };
-        if candidate.is_warm || first.is_some_and(|(_, home)| home == ix) {
-            return 1.0;
-        }
-        if second.is_some_and(|(_, home)| home == ix) { SECOND_FACTOR } else { COLD_FACTOR }
+        let rank = homes.iter().position(|home| home.is_some_and(|(_, home)| home == ix));
+        rank.map_or(Kinship::Stranger, Kinship::Home)
     }
 }
 
+// Weighted rendezvous: the part of objects whose best score a backend server has is its part of the weights.
+fn score(object: u64, candidate: &Candidate) -> f64 {
+    const STEPS: f64 = (1_u64 << 53) as f64;
+    const UNUSED_BITS: u32 = 11;
+    let weight = if candidate.is_near { NEAR_WEIGHT } else { 1.0 };
+    let uniform = ((mix(object ^ candidate.id_hash) >> UNUSED_BITS) as f64 + 0.5) / STEPS;
+    -weight / uniform.ln()
+}
+
 fn has_room(candidate: &Candidate, crowding: f64) -> bool {
     f64::from(candidate.load) < f64::from(candidate.slots) * crowding
 }
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -120,7 +120,7 @@
 
     /// The candidate that it is for a request.
     #[must_use]
-    pub fn candidate(&self, round_trip_ms: f64, is_open: bool, now: Time) -> Candidate {
+    pub fn candidate(&self, is_near: bool, round_trip_ms: f64, is_open: bool, now: Time) -> Candidate {
         let own = self.in_flight.load(Ordering::Relaxed);
         let state = self.state.lock();
         let age = now.since(state.sampled).as_secs_f64();
@@ -129,7 +129,7 @@
         let elsewhere = self.elsewhere.load(Ordering::Relaxed);
         Candidate {
             id_hash: self.hash,
-            region: self.region,
+            is_near,
             round_trip_ms,
             slots: self.registered.slots,
             load: own + elsewhere.max(reported),
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -106,6 +106,7 @@
         attempt_id: attempt_id.unwrap_or_else(new_id),
         object,
         arrived,
+        waited: node.waited_before(route, given),
         deadline: arrived + given.min(route.time_limit).saturating_sub(ANSWER_MARGIN),
     })
 }
@@ -245,8 +246,13 @@
         Ok(answered) => (answered.resp.status().as_u16(), String::new()),
         Err(e) => (Dialect::status(e.error.kind), e.error.to_string()),
     };
+    let place = outcome.place.as_ref();
     log::info!(
         id:? = outbound.attempt_id,
+        expected_ms = place.map_or(0.0, |p| p.expected_ms.round()),
+        load = place.map_or(0, |p| p.load),
+        rank:? = place.and_then(|p| p.rank),
+        work_ms = node.work_ms(outbound.route).round(),
         route = outbound.route.name.as_str(),
         organisation = outbound.organisation.map_or("", OrganisationName::as_str),
         service = outcome.service.as_str(),
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -72,6 +72,7 @@
     budgets: Sharded<HashMap<ServiceName, Budget>>,
     splits: Sharded<HashMap<RouteName, SplitCounts>>,
     work_times: Sharded<HashMap<RouteName, WorkTime>>,
+    deadlines: Sharded<HashMap<RouteName, Duration>>,
     phase: AtomicU8,
     in_flight: AtomicUsize,
     last_request: AtomicU64,
@@ -80,11 +81,15 @@
 /// Usual working time of a route's requests where their object ran lately.
 #[derive(Clone, Copy, Debug)]
 struct WorkTime {
-    mean_ms: f64,
+    usual_ms: f64,
 }
 
-/// A new working time counts for one part in this many of the mean.
-const WORK_TIME_WEIGHT: f64 = 32.0;
+/// A new working time counts for one part in this many of the usual one, when it is longer and when it is
+/// shorter. Thus the usual one stays near that of objects that ran lately.
+const LONGER_WORK_WEIGHT: f64 = 48.0;
+
+/// The same for a shorter one.
+const SHORTER_WORK_WEIGHT: f64 = 8.0;
 
 /// The part of the latency target that a request is assumed to work before any was seen.
 const FIRST_WORK_PART: f64 = 0.35;
@@ -113,6 +118,7 @@
             budgets: Sharded::default(),
             splits: Sharded::default(),
             work_times: Sharded::default(),
+            deadlines: Sharded::default(),
             phase: AtomicU8::new(Phase::Starting as u8),
             in_flight: AtomicUsize::new(0),
             last_request: AtomicU64::new(0),
@@ -170,15 +176,25 @@
     pub fn work_ms(&self, route: &Route) -> f64 {
         let shard = self.work_times.lock(hash_of(route.name.as_str()));
         let first = route.latency_target.as_secs_f64() * 1e3 * FIRST_WORK_PART;
-        shard.get(&route.name).map_or(first, |w| w.mean_ms)
+        shard.get(&route.name).map_or(first, |w| w.usual_ms)
     }
 
     /// Takes in how long a request of a route was worked on.
     pub fn observe_work(&self, route: &Route, measured_ms: f64) {
         let first = route.latency_target.as_secs_f64() * 1e3 * FIRST_WORK_PART;
         let mut shard = self.work_times.lock(hash_of(route.name.as_str()));
-        let work = shard.entry(route.name.clone()).or_insert(WorkTime { mean_ms: first });
-        work.mean_ms += (measured_ms - work.mean_ms) / WORK_TIME_WEIGHT;
+        let work = shard.entry(route.name.clone()).or_insert(WorkTime { usual_ms: first });
+        let weight = if measured_ms > work.usual_ms { LONGER_WORK_WEIGHT } else { SHORTER_WORK_WEIGHT };
+        work.usual_ms += (measured_ms - work.usual_ms) / weight;
+    }
+
+    /// How long a caller has waited before this attempt: the longest deadline seen on the route, less this one.
+    #[must_use]
+    pub fn waited_before(&self, route: &Route, deadline: Duration) -> Duration {
+        let mut shard = self.deadlines.lock(hash_of(route.name.as_str()));
+        let longest = shard.entry(route.name.clone()).or_default();
+        *longest = (*longest).max(deadline);
+        longest.saturating_sub(deadline)
     }
 
     /// Counts a request for a service towards its further attempts.
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -52,6 +52,8 @@
     pub result: Result<Answered, Unanswered>,
     /// Backend servers that it was sent to.
     pub tried: Vec<Arc<Backend>>,
+    /// What the last of them was chosen for.
+    pub place: Option<Place>,
     /// Its service.
     pub service: ServiceName,
 }
@@ -73,7 +75,7 @@
 ) -> Outcome {
     let service = &plan.plan.services[node.next_service(outbound.route)];
     let mut outcome =
-        Outcome { result: Err(nothing_tried()), tried: Vec::new(), service: service.name.clone() };
+        Outcome { result: Err(nothing_tried()), tried: Vec::new(), place: None, service: service.name.clone() };
     let mut body = Some(body);
     node.earn_retry(&service.name);
     loop {
@@ -89,6 +91,7 @@
             return outcome;
         };
         outcome.tried.push(Arc::clone(&backend));
+        outcome.place = Some(chosen);
         let failed = match attempt(node, outbound, service, &backend, &chosen, current).await {
             Ok(answered) => {
                 outcome.result = Ok(answered);
@@ -155,6 +158,10 @@
     Unanswered { error: Error::new(kind, detail), retry_after: Some(again_soon()) }
 }
 
+/// What is added to the crowding that a request may join when its caller was refused before: it goes before
+/// those who come first.
+const RETURNED_CROWDING: f64 = 0.5;
+
 fn choose(
     node: &SiteNode,
     outbound: &Outbound<'_>,
@@ -174,7 +181,7 @@
         .map(|b| {
             let untried = !tried.iter().any(|t| Arc::ptr_eq(t, b));
             let open = untried && may_run(b) && (!b.is_cold(now) || sends_to_cold(node, b));
-            b.candidate(round_trips[b.region], open, now)
+            b.candidate(node.table.is_near(b), round_trips[b.region], open, now)
         })
         .collect();
     let work_ms = node.work_ms(outbound.route);
@@ -184,7 +191,8 @@
             object: outbound.object.filter(|_| outbound.route.affinity),
             work_ms,
             queue_ms: work_ms,
-            crowding: crowding(outbound.urgency),
+            crowding: crowding(outbound.urgency) + if outbound.waited.is_zero() { 0.0 } else { RETURNED_CROWDING },
+            target_ms: outbound.target_ms(now),
             draw: rand::random(),
         };
         let chosen = place(&view)?;
@@ -365,8 +373,10 @@
         backend.answered(1.0, false, now);
     } else {
         backend.answered(took_ms / chosen.expected_ms.max(1.0), true, now);
-        let round_trip = node.table.round_trips_ms(std::slice::from_ref(backend))[backend.region];
-        node.observe_work(outbound.route, (took_ms - round_trip).max(1.0));
+        if !chosen.queued {
+            let round_trip = node.table.round_trips_ms(std::slice::from_ref(backend))[backend.region];
+            node.observe_work(outbound.route, (took_ms - round_trip).max(1.0));
+        }
     }
     let mut resp = Response::from_parts(parts, body);
     clean(resp.headers_mut());
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -79,6 +79,12 @@
         self.usable.load_full()
     }
 
+    /// Whether a backend server is in the region of this instance.
+    #[must_use]
+    pub fn is_near(&self, backend: &Backend) -> bool {
+        backend.region == self.own_region
+    }
+
     /// The region with a small number.
     #[must_use]
     pub fn region(&self, ix: usize) -> Option<&RegionName> {
