Let requests that will be late join queues like others

Cause: a request reckoned to miss its target took only idle slots; while work was cold that was nearly every request, so homes stayed empty of requests and cold. Ruled out: the number of homes (unchanged).

--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -21,10 +21,6 @@
 /// much work as several warm ones, so only idle slots are spent on it.
 const STRANGER_CROWDING: f64 = 0.5;
 
-/// Requests for each slot up to which a backend server takes a request that will miss its target anyway: it
-/// must not make those wait that can still meet theirs.
-const LATE_CROWDING: f64 = 1.0;
-
 /// The part of a working time that a full backend server adds before any request waits there: among backend
 /// servers that are alike otherwise, the emptier one is taken.
 const FILL_FACTOR: f64 = 0.25;
@@ -68,8 +64,6 @@
     pub queue_ms: f64,
     /// Requests that may be at a backend server for each of its slots.
     pub crowding: f64,
-    /// Time left until the answer is late for its caller.
-    pub target_ms: f64,
     /// Uniform over all `u64`; decides ties.
     pub draw: u64,
 }
@@ -97,7 +91,7 @@
 ///     failing: 0.0, is_warm: true, is_open: true };
 /// let far = Candidate { id_hash: 2, is_near: false, round_trip_ms: 100.0, ..near };
 /// let view = PlaceView { candidates: &[near, far], object: Some(9), work_ms: 50.0, queue_ms: 50.0,
-///     crowding: 3.0, target_ms: 500.0, draw: 0 };
+///     crowding: 3.0, draw: 0 };
 /// assert_eq!(place(&view).unwrap().ix, 0);
 /// let crowded = [Candidate { load: 6, ..near }, far];
 /// assert_eq!(place(&PlaceView { candidates: &crowded, ..view }).unwrap().ix, 1);
@@ -116,9 +110,6 @@
             continue;
         }
         let expected_ms = expected_ms(candidate, kinship.factor(), view);
-        if expected_ms > view.target_ms && !has_room(candidate, LATE_CROWDING) {
-            continue;
-        }
         if best.is_none_or(|b| expected_ms < b.expected_ms) {
             let queued = !has_room(candidate, 1.0);
             best = Some(Place { ix, expected_ms, queued, load: candidate.load, rank: kinship.rank() });
--- a/crates/burdock-node/src/site/outbound.rs
+++ b/crates/burdock-node/src/site/outbound.rs
@@ -68,13 +68,6 @@
         req
     }
 
-    /// Time left until the answer is late for its caller, in milliseconds; negative when it is already.
-    #[must_use]
-    pub fn target_ms(&self, now: Time) -> f64 {
-        let waited = self.waited + now.since(self.arrived);
-        (self.route.latency_target.as_secs_f64() - waited.as_secs_f64()) * 1e3
-    }
-
     /// The time until its deadline.
     #[must_use]
     pub fn time_left(&self, now: Time) -> Duration {
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -192,7 +192,6 @@
             work_ms,
             queue_ms: work_ms,
             crowding: crowding(outbound.urgency) + if outbound.waited.is_zero() { 0.0 } else { RETURNED_CROWDING },
-            target_ms: outbound.target_ms(now),
             draw: rand::random(),
         };
         let chosen = place(&view)?;
