Relay what the store changed from hubs to the instances that report to them

Change: only hubs watch; each report is answered with the changes after the asker's revision and their age.

--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -13,12 +13,12 @@
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, RegisteredInstance};
-use burdock_wire::messages::{Hello, Leave, LeaveQuestion, PeerAddress, Tally, Traffic};
+use burdock_wire::messages::{Hello, Leave, LeaveQuestion, PeerAddress, StoreNews, Tally, Traffic};
 use burdock_wire::server::{Handler, Handlers};
 use futures::FutureExt;
 use parking_lot::Mutex;
 
-use crate::site::{SiteNode, hash_of};
+use crate::site::{SiteNode, hash_of, sync};
 
 /// Time between two reports: within it a few requests are placed at each backend server.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,7 +89,14 @@
         }
         state.followers.insert(sender.clone(), heard);
         let at_work = tallies(&state.at_work(Some(&sender), now));
-        Traffic { sender: own.clone(), instances: 0, demands: Vec::new(), at_work, from_hub: false }
+        Traffic {
+            sender: own.clone(),
+            instances: 0,
+            demands: Vec::new(),
+            at_work,
+            from_hub: false,
+            store: StoreNews::default(),
+        }
     }
 
     /// Takes in another hub's answer.
@@ -166,6 +173,7 @@
             demands: tallies(&demands),
             at_work: tallies(&at_work),
             from_hub: true,
+            store: StoreNews::default(),
         }
     }
 }
@@ -175,7 +183,15 @@
 pub fn handlers(node: &Arc<SiteNode>) -> Handlers {
     let hello = hello(node);
     Handlers {
-        report: on(node, |node, traffic| Ok(node.hub.heard(&node.life.instance, traffic, node.clock.now()))),
+        report: on(node, |node, traffic: Traffic| {
+            let (now, revision) = (node.clock.now(), traffic.store.revision);
+            let follows = !traffic.from_hub;
+            let mut answer = node.hub.heard(&node.life.instance, traffic, now);
+            if follows {
+                answer.store = node.mirror.news_since(revision, now);
+            }
+            Ok(answer)
+        }),
         take_leave: on(node, |node, question: LeaveQuestion| Ok(leave(node, &question))),
         ..Handlers::none(hello)
     }
@@ -207,7 +223,9 @@
         demands: node.allowances.demands(now),
         at_work: node.table.at_work(),
         from_hub: false,
+        store: StoreNews { revision: node.mirror.revision().unwrap_or(0), ..StoreNews::default() },
     };
+    let from = traffic.store.revision;
     let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
         let answer = node.hub.heard(&node.life.instance, traffic, now);
         node.table.set_elsewhere(&answer.at_work);
@@ -215,7 +233,10 @@
         return;
     };
     match node.peers.report(&hub, traffic, REPORT_LIMIT).await {
-        Ok(answer) => node.table.set_elsewhere(&answer.at_work),
+        Ok(answer) => {
+            node.table.set_elsewhere(&answer.at_work);
+            sync::relayed(node, answer.store, now, from);
+        }
         Err(e) => {
             log::info!(hub = hub.id.as_str(); "the hub does not answer: {e:?}");
             node.hub.set_out(&hub.id, node.clock.now());
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod handle;
 pub mod hub;
+pub mod mirror;
 pub mod outbound;
 pub mod read_ahead;
 pub mod send;
@@ -40,6 +41,7 @@
 use crate::site::allowances::Allowances;
 use crate::site::fleet::SiteFleet;
 use crate::site::hub::Hub;
+use crate::site::mirror::Mirror;
 use crate::site::table::BackendTable;
 
 /// One running instance of a deployment.
@@ -55,6 +57,8 @@
     pub dialect: Dialect,
     /// The platform's store.
     pub kv: Kv,
+    /// What is known of the store.
+    pub mirror: Mirror,
     /// The configuration in force.
     pub plan: ArcSwap<PlanIndex>,
     /// The backend servers.
@@ -105,6 +109,7 @@
         let clock = Clock::start();
         Self {
             kv: Kv::new(settings.store),
+            mirror: Mirror::default(),
             table: BackendTable::new(&settings),
             fleet: SiteFleet::default(),
             life,
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -5,17 +5,29 @@
 use std::time::Duration;
 
 use burdock_model::ids::{BackendId, InstanceId, ZoneName};
+use burdock_decide::time::Time;
 use burdock_model::site::{PlanIndex, SiteChange};
 use burdock_platform::decode::change_of;
-use burdock_platform::kv::{Record, Records, Watched};
+use burdock_platform::kv::{Record, Watched};
 use burdock_platform::store::StoreResult;
+use burdock_wire::messages::StoreNews;
 
 use crate::node::Phase;
 use crate::observe::counters::Counter;
 use crate::site::SiteNode;
+use crate::site::mirror::records_of;
 
-/// The longest wait for changes in one call. A connection that has gone silent is noticed this much later, at most.
-const WATCH_WAIT: Duration = Duration::from_millis(3500);
+/// The longest wait for changes in one call. What a hub relays is at most this old and a round trip to the store.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+
+/// The age of an answer without changes: a round trip to the store's region.
+const ANSWER_AGE: Duration = Duration::from_millis(120);
+
+/// The pause after changes, so that those which come together are read in one call.
+const BATCH_PAUSE: Duration = Duration::from_millis(60);
+
+/// How often an instance that lives by relays looks whether they still come.
+const RELAY_LOOK: Duration = Duration::from_millis(100);
 
 /// The pause after a failed call, drawn from half to all of it.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -26,27 +38,32 @@
 /// Everything that instances read lies under this prefix.
 const ALL: &str = "";
 
-/// Follows the store until the process ends.
+/// Follows the store until the process ends: by a watch of its own as a hub or when no hub relays, else by what
+/// the hub relays with each report.
 pub async fn follow_loop(node: Arc<SiteNode>) {
-    let mut revision = None;
     let mut failing = false;
     loop {
-        let step = match revision {
-            None => read_all(&node).await.map(Some),
-            Some(after) => follow(&node, after).await,
+        let now = node.clock.now();
+        let is_hub = node.hub.hub_of(&node, &node.settings.region).is_none();
+        if !is_hub && node.mirror.is_fresh(now) {
+            tokio::time::sleep(RELAY_LOOK).await;
+            continue;
+        }
+        let step = match node.mirror.revision() {
+            None => read_all(&node).await,
+            Some(after) => watch(&node, after).await,
         };
         match step {
-            Ok(next) => {
+            Ok(()) => {
                 if failing {
                     node.table.store_back(node.clock.now());
                     log::info!("the store answers again");
                 }
                 failing = false;
-                revision = next;
             }
             Err(e) => {
                 if !failing {
-                    log::warn!(revision:? = revision; "the store does not answer: {e}");
+                    log::warn!(revision:? = node.mirror.revision(); "the store does not answer: {e}");
                 }
                 failing = true;
                 node.table.store_back(node.clock.now());
@@ -56,6 +73,15 @@
     }
 }
 
+/// Takes in what a hub relayed, asked for at a time and from a revision.
+pub fn relayed(node: &SiteNode, news: StoreNews, asked: Time, from: u64) {
+    let Some(age) = news.age_ms.filter(|_| news.complete) else {
+        return;
+    };
+    let confirmed = asked - Duration::from_millis(u64::from(age));
+    node.mirror.extend(from, records_of(news), confirmed, |records| apply_all(node, records));
+}
+
 /// Sweeps what is known of backend servers and instances.
 pub async fn sweep_loop(node: Arc<SiteNode>) {
     let mut tick = tokio::time::interval(SWEEP_INTERVAL);
@@ -67,41 +93,57 @@
     }
 }
 
-async fn read_all(node: &SiteNode) -> StoreResult<u64> {
-    let Records { records, revision } = node.kv.read(ALL, false).await?;
-    let mut listed = Listed::default();
-    for record in &records {
-        apply(node, record, Some(&mut listed));
-    }
-    let now = node.clock.now();
-    node.table.retain(&listed.backends, &listed.evacuated, &node.plan.load(), now);
-    for instance in node.fleet.listed() {
-        if !listed.instances.contains(&instance.id) {
-            node.fleet.take(&instance.id, None, now);
+async fn read_all(node: &SiteNode) -> StoreResult<()> {
+    let asked = node.clock.now();
+    let all = node.kv.read(ALL, false).await?;
+    node.mirror.restart(&all, asked, |records| {
+        let mut listed = Listed::default();
+        for record in records {
+            apply(node, record, Some(&mut listed));
         }
-    }
-    if node.plan.load().is_published() {
-        node.advance(Phase::Ready);
-    }
-    Ok(revision)
+        let now = node.clock.now();
+        node.table.retain(&listed.backends, &listed.evacuated, &node.plan.load(), now);
+        for instance in node.fleet.listed() {
+            if !listed.instances.contains(&instance.id) {
+                node.fleet.take(&instance.id, None, now);
+            }
+        }
+    });
+    ready_if_published(node);
+    Ok(())
 }
 
-async fn follow(node: &SiteNode, after: u64) -> StoreResult<Option<u64>> {
+async fn watch(node: &SiteNode, after: u64) -> StoreResult<()> {
+    let asked = node.clock.now();
     match node.kv.watch(ALL, after, WATCH_WAIT).await? {
         Watched::HistoryGone => {
             log::warn!(revision = after; "the store's history is gone; reading all anew");
-            Ok(None)
+            node.mirror.forget();
         }
-        Watched::Changes(Records { records, revision }) => {
-            for record in &records {
-                apply(node, record, None);
+        Watched::Changes(changes) => {
+            let any = !changes.records.is_empty();
+            // An answer without changes was true when it was sent, a moment ago.
+            let asked = if any { asked } else { node.clock.now() - ANSWER_AGE };
+            node.mirror.extend(after, changes, asked, |records| apply_all(node, records));
+            if any {
+                tokio::time::sleep(BATCH_PAUSE).await;
             }
-            if node.plan.load().is_published() {
-                node.advance(Phase::Ready);
-            }
-            Ok(Some(revision))
         }
     }
+    Ok(())
+}
+
+fn apply_all(node: &SiteNode, records: &[Record]) {
+    for record in records {
+        apply(node, record, None);
+    }
+    ready_if_published(node);
+}
+
+fn ready_if_published(node: &SiteNode) {
+    if node.plan.load().is_published() {
+        node.advance(Phase::Ready);
+    }
 }
 
 #[derive(Default)]
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -141,6 +141,14 @@
   amount @1 :Float32;
 }
 
+# A key of the store as it was written last, or its deletion.
+struct StoreRecord {
+  key @0 :Text;
+  value @1 :Data;
+  deleted @2 :Bool;
+  revision @3 :UInt64;
+}
+
 # What an instance, or a hub for those that report to it, tells of its traffic; and a hub's answer.
 struct Traffic {
   sender @0 :Text;
@@ -152,6 +160,14 @@
   atWork @3 :List(Tally);
   # The sender is a hub and speaks to another one.
   fromHub @4 :Bool;
+  # The store's revision up to which the sender knows all.
+  revision @5 :UInt64;
+  # In an answer: what the store changed after the asker's revision.
+  changes @6 :List(StoreRecord);
+  # In an answer: the changes are all there were.
+  complete @7 :Bool;
+  # In an answer: how long ago the store confirmed the revision; the largest value for never.
+  storeAgeMs @8 :UInt32 = 0xffffffff;
 }
 
 interface Peer {
--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -19,8 +19,8 @@
 
 use crate::convert;
 use crate::messages::{
-    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, PeerAddress, PeerError, RelayedRequest, ShareBucket,
-    Traffic, WholeAnswer,
+    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, PeerAddress, PeerError,
+    RelayedRequest, ShareBucket, Traffic, WholeAnswer,
 };
 use crate::peer_capnp::peer;
 use crate::threads::{LocalState, SessionThreads};
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -11,7 +11,7 @@
 
 use crate::messages::{
     Configuration, Exchange, Hello, Loan, MAX_MESSAGE_BYTES, OnceRecord, PROTOCOL_VERSION, RelayedRequest,
-    ShareBucket, Tally, Traffic, WholeAnswer,
+    ShareBucket, StoreNews, StoreRecord, Tally, Traffic, WholeAnswer,
 };
 use crate::peer_capnp as wire;
 
@@ -220,7 +220,20 @@
     to.set_instances(traffic.instances);
     to.set_from_hub(traffic.from_hub);
     write_tallies(&traffic.demands, to.reborrow().init_demands(count(&traffic.demands)));
-    write_tallies(&traffic.at_work, to.init_at_work(count(&traffic.at_work)));
+    write_tallies(&traffic.at_work, to.reborrow().init_at_work(count(&traffic.at_work)));
+    to.set_revision(traffic.store.revision);
+    to.set_complete(traffic.store.complete);
+    to.set_store_age_ms(traffic.store.age_ms.unwrap_or(NEVER));
+    let mut list = to.init_changes(count(&traffic.store.changes));
+    for (ix, record) in (0..).zip(&traffic.store.changes) {
+        let mut to = list.reborrow().get(ix);
+        to.set_key(&record.key);
+        to.set_revision(record.revision);
+        match &record.value {
+            Some(value) => to.set_value(value),
+            None => to.set_deleted(true),
+        }
+    }
 }
 
 pub fn read_traffic(from: wire::traffic::Reader<'_>) -> Result<Traffic> {
@@ -230,6 +243,20 @@
         demands: from.get_demands()?.iter().map(read_tally).collect(),
         at_work: from.get_at_work()?.iter().map(read_tally).collect(),
         from_hub: from.get_from_hub(),
+        store: StoreNews {
+            revision: from.get_revision(),
+            changes: from.get_changes()?.iter().map(read_store_record).collect::<Result<_>>()?,
+            complete: from.get_complete(),
+            age_ms: Some(from.get_store_age_ms()).filter(|age| *age != NEVER),
+        },
+    })
+}
+
+fn read_store_record(from: wire::store_record::Reader<'_>) -> Result<StoreRecord> {
+    Ok(StoreRecord {
+        key: string_of(from.get_key()?)?,
+        value: if from.get_deleted() { None } else { Some(from.get_value()?.to_vec()) },
+        revision: from.get_revision(),
     })
 }
 
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -79,6 +79,32 @@
     pub at_work: Vec<Tally>,
     /// The sender is a hub and speaks to another one.
     pub from_hub: bool,
+    /// What the sender knows of the store.
+    pub store: StoreNews,
+}
+
+/// What an instance knows of the store, and in an answer what the asker does not know yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreNews {
+    /// The store's revision up to which the sender knows all.
+    pub revision: u64,
+    /// What the store changed after the asker's revision.
+    pub changes: Vec<StoreRecord>,
+    /// The changes are all there were.
+    pub complete: bool,
+    /// How long ago the store confirmed the revision, in milliseconds; `None` for never.
+    pub age_ms: Option<u32>,
+}
+
+/// A key of the store as it was written last, or its deletion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRecord {
+    /// The key.
+    pub key: String,
+    /// Its value; `None` when it was deleted.
+    pub value: Option<Vec<u8>>,
+    /// The store's revision of this change.
+    pub revision: u64,
 }
 
 /// A question for leave to pass on requests.
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -16,8 +16,8 @@
 use crate::client::Peers;
 use crate::convert;
 use crate::messages::{
-    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, RelayedRequest, ShareBucket, Traffic,
-    WholeAnswer,
+    Configuration, Exchange, Hello, Leave, LeaveQuestion, Loan, OnceRecord, RelayedRequest, ShareBucket,
+    Traffic, WholeAnswer,
 };
 use crate::peer_capnp::peer;
 
@@ -293,7 +293,8 @@
         let sender =
             InstanceId::new(convert::str_of(params.get_sender()?)?).map_err(|e| failed(&e.to_string()))?;
         let (organisation, wanted) = (params.get_organisation(), params.get_wanted());
-        let leave = self.run(&self.handlers.take_leave, LeaveQuestion { sender, organisation, wanted }).await?;
+        let leave =
+            self.run(&self.handlers.take_leave, LeaveQuestion { sender, organisation, wanted }).await?;
         results.get().set_granted(leave.granted);
         results.get().set_wait_ms(leave.wait_ms);
         Ok(())
