Speak the platform's store protocol everywhere; test the way of a request on the platform

Found by the tests: buckets of a new hub began empty, so that every request in the first moments after a start was refused with 429; they begin with 0.3 s of the rate now.

--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -116,7 +116,7 @@
     let put = vec![(instance_key(&entry.id), value, lease)];
     match node.kv.commit(&Transaction { put, ..Transaction::default() }).await? {
         Committed::At(_) => Ok(lease),
-        Committed::Conflict | Committed::NoLease => {
+        Committed::Conflict { .. } | Committed::NoLease => {
             Err(burdock_platform::store::StoreError::Conflict { version: 0 })
         }
     }
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -21,10 +21,10 @@
 use crate::forward::body::RequestBody;
 use crate::node::Phase;
 use crate::observe::counters::Counter;
-use crate::site::{SiteNode, allowances};
 use crate::site::body::AnswerBody;
 use crate::site::outbound::{Outbound, forwarded};
 use crate::site::send::{Outcome, Unanswered, run};
+use crate::site::{SiteNode, allowances};
 
 /// The longest body that is read in whole before it is sent on, so that it can be sent again.
 const HELD_BODY_BYTES: u64 = 256 << 10;
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -39,6 +39,10 @@
 /// nobody hears of it.
 const DEMAND_KEPT: Duration = Duration::from_secs(10);
 
+/// The time for which a new hub's buckets count as filled already: enough for the first requests, little against
+/// what the hub before it may have given out.
+const FIRST_FILL: Duration = Duration::from_millis(300);
+
 /// What this instance knows as a hub, and of hubs.
 #[derive(Debug, Default)]
 pub struct Hub {
@@ -147,7 +151,7 @@
             expected_instances: expected as f64,
         });
         let allotment = allotment(organisation, part);
-        let bucket = self.buckets.entry(hash).or_insert_with(|| Bucket::new(allotment, now));
+        let bucket = self.buckets.entry(hash).or_insert_with(|| Bucket::new(allotment, now - FIRST_FILL));
         bucket.set_allotment(allotment, now);
         bucket
     }
@@ -319,7 +323,10 @@
 }
 
 fn tallies(sum: &HashMap<u64, f32>) -> Vec<Tally> {
-    sum.iter().filter(|(_, amount)| **amount > 0.0).map(|(hash, amount)| Tally { hash: *hash, amount: *amount }).collect()
+    sum.iter()
+        .filter(|(_, amount)| **amount > 0.0)
+        .map(|(hash, amount)| Tally { hash: *hash, amount: *amount })
+        .collect()
 }
 
 fn allotment(organisation: &Organisation, part: f64) -> Allotment {
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -59,7 +59,12 @@
         apply(&records.records);
         // A read that began before a later change was heard of does not take it back.
         let revision = state.revision.unwrap_or(0).max(records.revision);
-        *state = State { revision: Some(revision), log_from: revision, confirmed: Some(asked), ..State::default() };
+        *state = State {
+            revision: Some(revision),
+            log_from: revision,
+            confirmed: Some(asked),
+            ..State::default()
+        };
     }
 
     /// Takes in changes that are complete from the given revision on. Returns whether they fit what is known.
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -74,8 +74,12 @@
     body: RequestBody,
 ) -> Outcome {
     let service = &plan.plan.services[node.next_service(outbound.route)];
-    let mut outcome =
-        Outcome { result: Err(nothing_tried()), tried: Vec::new(), place: None, service: service.name.clone() };
+    let mut outcome = Outcome {
+        result: Err(nothing_tried()),
+        tried: Vec::new(),
+        place: None,
+        service: service.name.clone(),
+    };
     let mut body = Some(body);
     node.earn_retry(&service.name);
     loop {
@@ -191,7 +195,8 @@
             object: outbound.object.filter(|_| outbound.route.affinity),
             work_ms,
             queue_ms: work_ms,
-            crowding: crowding(outbound.urgency) + if outbound.waited.is_zero() { 0.0 } else { RETURNED_CROWDING },
+            crowding: crowding(outbound.urgency)
+                + if outbound.waited.is_zero() { 0.0 } else { RETURNED_CROWDING },
             draw: rand::random(),
         };
         let chosen = place(&view)?;
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_decide::time::Time;
+use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_model::site::{PlanIndex, SiteChange};
 use burdock_platform::decode::change_of;
 use burdock_platform::kv::{Record, Watched};
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -195,7 +195,11 @@
         let counts: HashMap<u64, f32> = at_work.iter().map(|t| (t.hash, t.amount)).collect();
         for entry in self.state.lock().entries.values() {
             let count = counts.get(&entry.backend.hash()).copied().unwrap_or(0.0);
-            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a float cast saturates"
+            )]
             entry.backend.set_elsewhere(count.round() as u32);
         }
     }
--- a/crates/burdock-node/tests/faults.rs
+++ b/crates/burdock-node/tests/faults.rs
@@ -284,7 +284,7 @@
 
     fn heal(&self) {
         let store =
-            StoreFault { down_ms: Some(0), slow_ms: Some(0), lose_answers: Some(0), lapse_leases: None };
+            StoreFault { down_ms: Some(0), slow_ms: Some(0), lose_answers: Some(0), ..StoreFault::default() };
         self.demo.store.inject(store);
         for backend in &self.demo.backends {
             backend.standin.inject(BackendFault {
--- /dev/null
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -0,0 +1,274 @@
+//! A deployment in one process: a store, backend servers and instances on free loopback ports.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod raw;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use burdock_node::site::start::{RunningSite, start};
+use burdock_standin::backend::BackendStandin;
+use burdock_standin::site::{HOST, SampleEntry, SamplePlan, settings};
+use burdock_standin::store::StoreStandin;
+use bytes::Bytes;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+/// The longest that anything is waited for before a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Slots of each backend server.
+const SLOTS: u32 = 6;
+
+const PORTS_PER_INSTANCE: u16 = 4;
+
+pub struct Site {
+    pub store: StoreStandin,
+    pub store_address: SocketAddr,
+    pub backends: Vec<TestBackend>,
+    pub nodes: Vec<RunningSite>,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+pub struct TestBackend {
+    pub id: String,
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub address: SocketAddr,
+    pub standin: BackendStandin,
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// An entry that can be changed before it is published.
+pub struct Entry<'a>(SampleEntry<'a>);
+
+impl<'a> Entry<'a> {
+    pub fn state(mut self, state: &'a str) -> Self {
+        self.0.state = state;
+        self
+    }
+
+    pub fn cold_s(mut self, seconds: f64) -> Self {
+        self.0.cold_s = seconds;
+        self
+    }
+
+    pub fn publish(self, store: &StoreStandin) {
+        self.0.publish(store);
+    }
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+impl Site {
+    /// Instances in one region, and this many backend servers of each service, one zone after the other.
+    pub async fn start(instances: usize, backends: usize) -> Self {
+        let mut site = Self::empty().await;
+        SamplePlan::new(1).publish(&site.store);
+        site.add_backends(backends).await;
+        site.add_instances(instances).await;
+        site
+    }
+
+    pub async fn start_without_plan(instances: usize) -> Self {
+        let mut site = Self::empty().await;
+        for _ in 0..instances {
+            site.add_instance().await;
+        }
+        site
+    }
+
+    async fn empty() -> Self {
+        let store = StoreStandin::default();
+        let (store_address, _task) = store.serve("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let http = Client::builder(TokioExecutor::new()).build_http();
+        Self { store, store_address, backends: Vec::new(), nodes: Vec::new(), http }
+    }
+
+    async fn add_backends(&mut self, count: usize) {
+        const ZONES: [&str; 3] = ["riga-a", "jelgava-a", "daugavpils-a"];
+        for service in ["quotes", "valves"] {
+            for ix in 0..count {
+                let id = format!("{service}-{ix}");
+                let standin = BackendStandin::new(&id, SLOTS, true);
+                let any = "127.0.0.1:0".parse().unwrap();
+                let address = standin.serve(any, any).await.unwrap().service;
+                let backend = TestBackend { id, service, zone: ZONES[ix % ZONES.len()], address, standin };
+                self.backends.push(backend);
+                self.entry(self.backends.len() - 1).publish(&self.store);
+            }
+        }
+    }
+
+    async fn add_instances(&mut self, count: usize) {
+        for _ in 0..count {
+            self.add_instance().await;
+        }
+        for ix in 0..count {
+            self.eventually(async || self.ready(ix).await == 200).await;
+            self.eventually(async || self.nodes[ix].node.fleet.listed().len() == count).await;
+        }
+    }
+
+    async fn add_instance(&mut self) {
+        let name = format!("edge-riga-a-{}", self.nodes.len() + 1);
+        let text = settings(&name, "riga", "riga-a", free_ports(), self.store_address);
+        let settings = burdock_platform::settings::parse(&text).unwrap();
+        self.nodes.push(start(settings).await.unwrap());
+    }
+
+    pub fn entry(&self, ix: usize) -> Entry<'_> {
+        let backend = &self.backends[ix];
+        Entry(SampleEntry {
+            id: &backend.id,
+            service: backend.service,
+            address: backend.address,
+            zone: backend.zone,
+            slots: SLOTS,
+            state: "ready",
+            cold_s: 0.0,
+            born: 1,
+        })
+    }
+
+    pub fn register(&self, id: &str, service: &str, address: SocketAddr) {
+        let entry = SampleEntry {
+            id,
+            service,
+            address,
+            zone: "riga-a",
+            slots: SLOTS,
+            state: "ready",
+            cold_s: 0.0,
+            born: 1,
+        };
+        entry.publish(&self.store);
+    }
+
+    pub fn standin(&self, id: &str) -> &BackendStandin {
+        &self.backends.iter().find(|b| b.id == id).unwrap().standin
+    }
+
+    /// Times that a request ran.
+    pub fn runs(&self, id: &str) -> usize {
+        let logs = self.backends.iter().flat_map(|b| b.standin.log());
+        logs.filter(|ran| ran.id == id).count()
+    }
+
+    pub fn callers(&self, ix: usize) -> SocketAddr {
+        self.nodes[ix].node.settings.listen.callers
+    }
+
+    pub fn versions(&self) -> Vec<u64> {
+        self.nodes.iter().map(|n| n.node.plan.load().plan.version).collect()
+    }
+
+    pub async fn ready(&self, ix: usize) -> u16 {
+        let address = self.nodes[ix].node.settings.listen.ready;
+        self.send(address, "GET", "/-/readiness", &[], "").await.map_or(0, |a| a.status)
+    }
+
+    pub async fn directory(&self, ix: usize, region: &str) -> Vec<String> {
+        let address = self.nodes[ix].node.settings.listen.directory;
+        let path = format!("/-/resolve?name={HOST}&region={region}&zone={region}-a");
+        let answer = self.send(address, "GET", &path, &[], "").await;
+        let named = answer.map(|a| a.json()["addresses"].clone()).unwrap_or_default();
+        serde_json::from_value(named).unwrap_or_default()
+    }
+
+    /// The backend servers that answer for many objects, sorted.
+    pub async fn used(&self, ix: usize, prefix: &str) -> Vec<String> {
+        let mut used = Vec::new();
+        for nth in 0..24 {
+            let object = nth.to_string();
+            let headers =
+                [("x-burdockcroft-key", "key-of-farm"), ("x-burdockcroft-affinity-key", object.as_str())];
+            let answer = self.get(ix, &format!("{prefix}1"), &headers).await.unwrap();
+            if let Some(backend) = answer.json()["backend"].as_str() {
+                used.push(backend.to_owned());
+            }
+        }
+        used.sort();
+        used.dedup();
+        used
+    }
+
+    pub async fn get(&self, ix: usize, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
+        self.send(self.callers(ix), "GET", path, headers, "").await
+    }
+
+    pub async fn post(&self, ix: usize, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+        self.send(self.callers(ix), "POST", path, headers, body).await
+    }
+
+    /// Sends a request; `None` when no whole answer came.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Answer> {
+        let mut req =
+            Request::builder().method(method).uri(format!("http://{to}{path}")).header("host", HOST);
+        let has_id = headers.iter().any(|(name, _)| *name == "x-burdockcroft-attempt-id");
+        if !has_id {
+            req = req.header("x-burdockcroft-attempt-id", format!("{:x}", rand::random::<u64>()));
+        }
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+        let exchange = async {
+            let resp = self.http.request(req).await.ok()?;
+            let (parts, body) = resp.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
+        };
+        tokio::time::timeout(PATIENCE, exchange).await.ok().flatten()
+    }
+
+    /// Waits until something holds.
+    pub async fn eventually(&self, mut done: impl AsyncFnMut() -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !done().await {
+            assert!(Instant::now() < end, "what was waited for did not come");
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+}
+
+// Ports below the range that the system hands out by itself, apart from those of the other test files.
+fn free_ports() -> u16 {
+    const FIRST_PORT: u16 = 12_000;
+    const PORTS_PER_PROCESS: u16 = 240;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + u16::try_from(std::process::id() % 32).unwrap() * PORTS_PER_PROCESS;
+    loop {
+        let port = first + NEXT.fetch_add(PORTS_PER_INSTANCE, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let free = |p: u16| TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, p)).is_ok();
+        if (port..port + PORTS_PER_INSTANCE).all(free) {
+            return port;
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdock-node/tests/site_support/raw.rs
@@ -0,0 +1,70 @@
+//! Bytes on sockets, where a library would not misbehave.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pieces of an answer, each after a pause.
+type Script = Vec<(Duration, Vec<u8>)>;
+
+/// A backend server that answers each request by a script, given the request's id.
+pub struct Backend {
+    pub address: SocketAddr,
+}
+
+impl Backend {
+    pub async fn start(script: impl Fn(String) -> Script + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let script = Arc::new(script);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&script)));
+            }
+        });
+        Self { address }
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Arc<impl Fn(String) -> Script>) {
+    stream.set_nodelay(true).unwrap();
+    let mut buf = Vec::new();
+    loop {
+        let head = loop {
+            if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                break buf.drain(..end + 4).collect::<Vec<u8>>();
+            }
+            if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+                return;
+            }
+        };
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let id =
+            head.lines().find_map(|l| l.strip_prefix("x-burdockcroft-attempt-id: ")).unwrap_or("").to_owned();
+        for (pause, bytes) in script(id) {
+            tokio::time::sleep(pause).await;
+            if stream.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A whole answer.
+pub fn answer(id: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-burdockcroft-attempt-id: {id}\r\nx-burdockcroft-response-seal: 1.2\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Sends bytes and closes the connection a while later.
+pub async fn send_and_leave(to: SocketAddr, bytes: &str, stay: Duration) {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    tokio::time::sleep(stay).await;
+}
--- a/crates/burdock-standin/src/backend.rs
+++ b/crates/burdock-standin/src/backend.rs
@@ -9,9 +9,10 @@
 use axum::http::StatusCode;
 use axum::routing::{get, post};
 use axum::{Json, Router};
+use burdock_platform::dialect::Dialect;
 use bytes::Bytes;
 use futures::StreamExt;
-use http::{Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -208,7 +209,38 @@
         });
     }
 
+    // Answers a request, with the platform's headers where it came with them.
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
+        let dialect = Dialect::platform();
+        let asked = req.headers().clone();
+        let own = HeaderValue::from_str(&self.inner.name).map_err(std::io::Error::other)?;
+        if asked.get(&dialect.only_backend).is_some_and(|only| *only != own) {
+            let mut resp = shed();
+            *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return Ok(resp);
+        }
+        let mut resp = self.run(req).await?;
+        if let Some(id) = asked.get(&dialect.attempt_id) {
+            self.seal(&dialect, id, resp.headers_mut());
+        }
+        Ok(resp)
+    }
+
+    fn seal(&self, dialect: &Dialect, id: &HeaderValue, headers: &mut HeaderMap) {
+        headers.insert(&dialect.attempt_id, id.clone());
+        if headers.contains_key(SHED_HEADER) {
+            headers.insert(&dialect.not_run, HeaderValue::from_static("1"));
+            return;
+        }
+        headers.insert(&dialect.seal, HeaderValue::from_static("0.1.2"));
+        let (in_flight, slots) = (self.inner.state.lock().in_flight, self.inner.slots);
+        let load = format!("{},{},{slots}", in_flight.min(slots), in_flight.saturating_sub(slots));
+        if let Ok(load) = HeaderValue::from_str(&load) {
+            headers.insert(&dialect.load, load);
+        }
+    }
+
+    async fn run(&self, req: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
         if req.uri().path() == "/health" {
             return Ok(self.health());
         }
@@ -269,11 +301,16 @@
         }
         let header =
             |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+        let dialect = Dialect::platform();
+        let either = |own: &str, platform: &http::HeaderName| {
+            let found = header(own);
+            if found.is_empty() { header(platform.as_str()) } else { found }
+        };
         let ran = Ran {
-            id: header("burdock-request-id"),
+            id: either("burdock-request-id", &dialect.attempt_id),
             path: req.uri().path().to_owned(),
             idempotency_key: header("idempotency-key"),
-            organisation: header("burdock-organisation"),
+            organisation: either("burdock-organisation", &dialect.organisation),
             start_us: wall_clock_us(),
             end_us: 0,
         };
--- a/crates/burdock-standin/src/lib.rs
+++ b/crates/burdock-standin/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod backend;
 pub mod sample;
+pub mod site;
 pub mod store;
--- a/crates/burdock-standin/src/store.rs
+++ b/crates/burdock-standin/src/store.rs
@@ -1,4 +1,4 @@
-//! A stand-in for the platform's store: versions, compare-and-swap, leases, long-poll watches, faults.
+//! A stand-in for the platform's store: revisions, transactions, leases, long-poll watches, faults.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,10 +9,12 @@
 use axum::http::StatusCode;
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post};
+use axum::routing::{delete, get, post};
 use axum::{Json, Router};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use burdock_platform::protocol::{
-    KeyVersion, LeaseAnswer, LeaseBody, ListedInstance, PutAnswer, PutBody, Versioned, WatchAnswer,
+    CommitAnswer, CommitBody, EventsAnswer, Item, LeaseAnswer, LeaseBody, ListedInstance, PageAnswer,
 };
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -22,9 +24,18 @@
 /// The largest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
-/// Changes that watches can still ask for; an older index gets every key.
+/// Changes that watches can still ask for; an older revision is told that the history is gone.
 const HISTORY: usize = 4096;
 
+/// Items on one page.
+const PAGE_ITEMS: usize = 500;
+
+/// The largest transaction.
+const MAX_ENTRIES: usize = 32;
+
+/// Prefixes that only the operator and backend servers write.
+const FOREIGN_PREFIXES: [&str; 2] = ["op/", "servers/"];
+
 /// A fault to inject. Fields left out stay as they are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -37,6 +48,10 @@
     pub lose_answers: Option<u32>,
     /// End every lease at once.
     pub lapse_leases: Option<bool>,
+    /// Drop the history, so that every watch has to begin anew.
+    pub forget_history: Option<bool>,
+    /// Answer every call with bytes that are no answer.
+    pub garbage: Option<bool>,
 }
 
 /// Counts of calls by kind.
@@ -62,42 +77,53 @@
 
 #[derive(Debug, Default)]
 struct KeyState {
-    index: u64,
+    revision: u64,
     keys: BTreeMap<String, Entry>,
-    history: Vec<(u64, String)>,
-    leases: BTreeMap<u64, Instant>,
+    history: Vec<Item>,
+    forgotten: u64,
+    leases: BTreeMap<u64, Lease>,
     next_lease: u64,
     instances: Vec<ListedInstance>,
     down_until: Option<Instant>,
     slow: Duration,
     lose_answers: u32,
+    garbage: bool,
     calls: Calls,
 }
 
 #[derive(Debug)]
 struct Entry {
     value: String,
-    version: u64,
-    lease: Option<u64>,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    end: Instant,
+    ttl: Duration,
 }
 
 #[derive(Debug, Deserialize)]
-struct Expect {
-    expect: Option<u64>,
+struct KeyQuery {
+    key: String,
 }
 
 #[derive(Debug, Deserialize)]
-struct Prefix {
+struct RangeQuery {
     #[serde(default)]
-    prefix: String,
+    path_prefix: String,
+    #[serde(default)]
+    after: String,
 }
 
 #[derive(Debug, Deserialize)]
 struct WatchQuery {
     #[serde(default)]
-    prefix: String,
+    path_prefix: String,
     #[serde(default)]
-    since: u64,
+    after: u64,
     #[serde(default)]
     wait_ms: u64,
 }
@@ -133,6 +159,23 @@
         self.inner.state.lock().calls
     }
 
+    /// Writes a key as the operator or a backend server does; with no value it is deleted.
+    pub fn publish(&self, key: &str, value: Option<&[u8]>) {
+        let mut state = self.inner.state.lock();
+        match value {
+            Some(value) => state.put(key, STANDARD.encode(value), 0),
+            None => state.remove(key),
+        }
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Keys that are there now.
+    #[must_use]
+    pub fn keys(&self) -> Vec<String> {
+        self.inner.state.lock().keys.keys().cloned().collect()
+    }
+
     /// Injects a fault.
     pub fn inject(&self, fault: Fault) {
         let mut state = self.inner.state.lock();
@@ -149,15 +192,24 @@
             let all: Vec<u64> = state.leases.keys().copied().collect();
             state.end_leases(&all);
         }
+        if fault.forget_history == Some(true) {
+            state.history.clear();
+            state.forgotten = state.revision;
+        }
+        if let Some(garbage) = fault.garbage {
+            state.garbage = garbage;
+        }
     }
 
     fn router(&self) -> Router {
         let platform = Router::new()
-            .route("/v1/kv", get(list))
-            .route("/v1/kv/{*key}", get(read).put(write).delete(remove))
-            .route("/v1/watch", get(watch))
-            .route("/v1/leases", post(grant))
-            .route("/v1/leases/{id}/renew", post(renew))
+            .route("/-/kv-key", get(read))
+            .route("/-/kv-range", get(range))
+            .route("/-/kv-watch", get(watch))
+            .route("/-/kv-txn", post(commit))
+            .route("/-/kv-lease", post(grant))
+            .route("/-/kv-keep/{id}", post(renew))
+            .route("/-/kv-lease-end/{id}", delete(end_lease))
             .layer(from_fn_with_state(self.clone(), apply_faults));
         // The list of instances is a service of its own, which the store's faults leave alone.
         let list = Router::new().route("/v1/instances", get(instances).put(put_instances));
@@ -167,40 +219,59 @@
 }
 
 impl KeyState {
-    fn record(&mut self, key: &str) {
-        self.history.push((self.index, key.to_owned()));
-        let extra = self.history.len().saturating_sub(HISTORY);
-        self.history.drain(..extra);
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        self.revision += 1;
+        let created = self.keys.get(key).map_or(self.revision, |e| e.created);
+        let entry = Entry { value, revision: self.revision, created, lease };
+        self.record(entry.item(key));
+        self.keys.insert(key.to_owned(), entry);
     }
 
-    fn put(&mut self, key: &str, body: PutBody) -> Result<u64, u64> {
-        self.expire_leases();
-        let present = self.keys.get(key).map_or(0, |e| e.version);
-        if body.expect.is_some_and(|expect| expect != present) {
-            return Err(present);
+    fn remove(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.revision += 1;
+            self.record(Item {
+                key: key.to_owned(),
+                revision: self.revision,
+                tombstone: true,
+                ..Item::default()
+            });
         }
-        self.index += 1;
-        let version = self.index;
-        self.keys.insert(key.to_owned(), Entry { value: body.value, version, lease: body.lease });
-        self.record(key);
-        Ok(version)
     }
 
-    fn delete(&mut self, key: &str, expect: Option<u64>) -> Result<(), u64> {
-        let present = self.keys.get(key).map_or(0, |e| e.version);
-        if expect.is_some_and(|expect| expect != present) {
-            return Err(present);
+    fn record(&mut self, item: Item) {
+        self.history.push(item);
+        let extra = self.history.len().saturating_sub(HISTORY);
+        if let Some(last) = self.history.drain(..extra).next_back() {
+            self.forgotten = last.revision;
         }
-        if self.keys.remove(key).is_some() {
-            self.index += 1;
-            self.record(key);
+    }
+
+    // All or nothing; the items of the expected keys where one has another revision.
+    fn commit(&mut self, body: &CommitBody) -> Result<u64, Refused> {
+        self.expire_leases();
+        let lease_missing = |lease: u64| lease != 0 && !self.leases.contains_key(&lease);
+        if body.put_items.iter().any(|item| lease_missing(item.lease)) {
+            return Err(Refused::NoLease);
+        }
+        let present = |key: &str| self.keys.get(key).map_or(0, |e| e.revision);
+        if body.expected_revision.iter().any(|expected| present(&expected.key) != expected.revision) {
+            let found =
+                body.expected_revision.iter().filter_map(|e| Some(self.keys.get(&e.key)?.item(&e.key)));
+            return Err(Refused::Conflict(found.collect()));
+        }
+        for item in &body.put_items {
+            self.put(&item.key, item.value.clone().unwrap_or_default(), item.lease);
         }
-        Ok(())
+        for key in &body.remove {
+            self.remove(key);
+        }
+        Ok(self.revision)
     }
 
     fn expire_leases(&mut self) {
         let now = Instant::now();
-        let over: Vec<u64> = self.leases.iter().filter(|(_, end)| **end <= now).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self.leases.iter().filter(|(_, l)| l.end <= now).map(|(id, _)| *id).collect();
         self.end_leases(&over);
     }
 
@@ -209,35 +280,41 @@
             return;
         }
         self.leases.retain(|id, _| !over.contains(id));
-        let held = |e: &Entry| e.lease.is_some_and(|l| over.contains(&l));
+        let held = |e: &Entry| e.lease != 0 && over.contains(&e.lease);
         let keys: Vec<String> = self.keys.iter().filter(|(_, e)| held(e)).map(|(k, _)| k.clone()).collect();
         for key in keys {
-            self.keys.remove(&key);
-            self.index += 1;
-            self.record(&key);
+            self.remove(&key);
         }
     }
 
-    fn changes(&self, prefix: &str, since: u64) -> Vec<KeyVersion> {
-        let oldest = self.history.first().map_or(self.index, |(index, _)| *index);
-        let complete = since + 1 >= oldest;
-        let mut keys: Vec<&String> = if complete {
-            self.history.iter().filter(|(index, _)| *index > since).map(|(_, key)| key).collect()
-        } else {
-            self.keys.keys().collect()
-        };
-        keys.sort_unstable();
-        keys.dedup();
-        let version = |key: &str| self.keys.get(key).map_or(0, |e| e.version);
-        let matching = keys.into_iter().filter(|key| key.starts_with(prefix));
-        matching.map(|key| KeyVersion { key: key.clone(), version: version(key) }).collect()
+    fn events(&self, prefix: &str, after: u64) -> Vec<Item> {
+        let newer = self.history.iter().filter(|item| item.revision > after && item.key.starts_with(prefix));
+        newer.cloned().collect()
+    }
+}
+
+impl Entry {
+    fn item(&self, key: &str) -> Item {
+        Item {
+            key: key.to_owned(),
+            value: Some(self.value.clone()),
+            revision: self.revision,
+            create_rev: self.created,
+            lease: self.lease,
+            tombstone: false,
+        }
     }
 }
 
+enum Refused {
+    NoLease,
+    Conflict(Vec<Item>),
+}
+
 // Faults apply to the platform's calls only, not to the stand-in's own controls.
 async fn apply_faults(State(store): State<StoreStandin>, req: Request, next: Next) -> Response {
     let is_write = req.method() != axum::http::Method::GET;
-    let (down, slow) = {
+    let (down, slow, garbage) = {
         let mut state = store.inner.state.lock();
         if is_write {
             state.calls.writes += 1;
@@ -245,11 +322,14 @@
             state.calls.reads += 1;
         }
         state.expire_leases();
-        (state.down_until.is_some_and(|until| Instant::now() < until), state.slow)
+        (state.down_until.is_some_and(|until| Instant::now() < until), state.slow, state.garbage)
     };
     if down {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if garbage {
+        return "{\"items\":[{\"key\"".into_response();
+    }
     tokio::time::sleep(slow).await;
     let answer = next.run(req).await;
     if is_write && store.lose_answer() {
@@ -268,51 +348,30 @@
     }
 }
 
-async fn read(State(store): State<StoreStandin>, Path(key): Path<String>) -> Response {
+async fn read(State(store): State<StoreStandin>, Query(query): Query<KeyQuery>) -> Response {
     let state = store.inner.state.lock();
-    match state.keys.get(&key) {
-        Some(entry) => Json(Versioned { value: entry.value.clone(), version: entry.version }).into_response(),
+    match state.keys.get(&query.key) {
+        Some(entry) => Json(entry.item(&query.key)).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
-async fn write(
-    State(store): State<StoreStandin>,
-    Path(key): Path<String>,
-    Json(body): Json<PutBody>,
-) -> Response {
-    if body.value.len() > MAX_VALUE_BYTES {
-        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
-    }
-    let result = store.inner.state.lock().put(&key, body);
-    store.inner.changed.notify_waiters();
-    answer_version(result)
-}
-
-async fn remove(
-    State(store): State<StoreStandin>,
-    Path(key): Path<String>,
-    Query(query): Query<Expect>,
-) -> Response {
-    let result = store.inner.state.lock().delete(&key, query.expect);
-    store.inner.changed.notify_waiters();
-    answer_version(result.map(|()| 0))
-}
-
-fn answer_version(result: Result<u64, u64>) -> Response {
-    match result {
-        Ok(version) => Json(PutAnswer { version }).into_response(),
-        Err(version) => (StatusCode::CONFLICT, Json(PutAnswer { version })).into_response(),
-    }
-}
-
-async fn list(State(store): State<StoreStandin>, Query(query): Query<Prefix>) -> Json<Vec<KeyVersion>> {
+async fn range(State(store): State<StoreStandin>, Query(query): Query<RangeQuery>) -> Json<PageAnswer> {
     let state = store.inner.state.lock();
-    let matching = state.keys.iter().filter(|(key, _)| key.starts_with(&query.prefix));
-    Json(matching.map(|(key, e)| KeyVersion { key: key.clone(), version: e.version }).collect())
+    let matching = |key: &str| key.starts_with(&query.path_prefix) && key > query.after.as_str();
+    let mut items: Vec<Item> = state
+        .keys
+        .iter()
+        .filter(|(key, _)| matching(key))
+        .map(|(key, e)| e.item(key))
+        .take(PAGE_ITEMS + 1)
+        .collect();
+    let has_more = items.len() > PAGE_ITEMS;
+    items.truncate(PAGE_ITEMS);
+    Json(PageAnswer { items, has_more, store_revision: state.revision })
 }
 
-async fn watch(State(store): State<StoreStandin>, Query(query): Query<WatchQuery>) -> Json<WatchAnswer> {
+async fn watch(State(store): State<StoreStandin>, Query(query): Query<WatchQuery>) -> Response {
     let end = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         let changed = store.inner.changed.notified();
@@ -320,13 +379,45 @@
         changed.as_mut().enable();
         let answer = {
             let state = store.inner.state.lock();
-            WatchAnswer { index: state.index, changes: state.changes(&query.prefix, query.since) }
+            if query.after < state.forgotten {
+                return StatusCode::GONE.into_response();
+            }
+            EventsAnswer {
+                events: state.events(&query.path_prefix, query.after),
+                store_revision: state.revision,
+            }
         };
-        if !answer.changes.is_empty() || tokio::time::Instant::now() >= end {
-            return Json(answer);
+        if !answer.events.is_empty() || tokio::time::Instant::now() >= end {
+            return Json(answer).into_response();
         }
         if tokio::time::timeout_at(end, changed).await.is_err() {
-            return Json(answer);
+            return Json(answer).into_response();
+        }
+    }
+}
+
+async fn commit(State(store): State<StoreStandin>, Json(body): Json<CommitBody>) -> Response {
+    let keys = body.put_items.iter().map(|item| &item.key).chain(&body.remove);
+    if keys.clone().any(|key| FOREIGN_PREFIXES.iter().any(|prefix| key.starts_with(prefix))) {
+        return StatusCode::FORBIDDEN.into_response();
+    }
+    let too_large = |item: &Item| {
+        let decoded = STANDARD.decode(item.value.as_deref().unwrap_or_default());
+        decoded.is_ok_and(|bytes| bytes.len() > MAX_VALUE_BYTES)
+    };
+    let entries = body.expected_revision.len() + body.put_items.len() + body.remove.len();
+    if entries > MAX_ENTRIES || body.put_items.iter().any(too_large) {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    let result = store.inner.state.lock().commit(&body);
+    store.inner.changed.notify_waiters();
+    match result {
+        Ok(revision) => Json(CommitAnswer { revision }).into_response(),
+        Err(Refused::NoLease) => StatusCode::NOT_FOUND.into_response(),
+        Err(Refused::Conflict(items)) => {
+            let store_revision = store.inner.state.lock().revision;
+            let answer = PageAnswer { items, has_more: false, store_revision };
+            (StatusCode::PRECONDITION_FAILED, Json(answer)).into_response()
         }
     }
 }
@@ -334,22 +425,27 @@
 async fn grant(State(store): State<StoreStandin>, Json(body): Json<LeaseBody>) -> Json<LeaseAnswer> {
     let mut state = store.inner.state.lock();
     state.next_lease += 1;
-    let lease = state.next_lease;
-    state.leases.insert(lease, Instant::now() + Duration::from_millis(body.ttl_ms));
-    Json(LeaseAnswer { lease })
+    let (lease, ttl) = (state.next_lease, Duration::from_secs_f64(body.ttl_s_time.max(0.0)));
+    state.leases.insert(lease, Lease { end: Instant::now() + ttl, ttl });
+    Json(LeaseAnswer { lease, ttl_s_time: body.ttl_s_time })
 }
 
-async fn renew(State(store): State<StoreStandin>, Path(id): Path<u64>) -> StatusCode {
-    const RENEWED_FOR: Duration = Duration::from_secs(10);
+async fn renew(State(store): State<StoreStandin>, Path(id): Path<u64>) -> Response {
     match store.inner.state.lock().leases.get_mut(&id) {
-        Some(end) => {
-            *end = Instant::now() + RENEWED_FOR;
-            StatusCode::OK
+        Some(lease) => {
+            lease.end = Instant::now() + lease.ttl;
+            Json(LeaseBody { ttl_s_time: lease.ttl.as_secs_f64() }).into_response()
         }
-        None => StatusCode::NOT_FOUND,
+        None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
+async fn end_lease(State(store): State<StoreStandin>, Path(id): Path<u64>) -> StatusCode {
+    store.inner.state.lock().end_leases(&[id]);
+    store.inner.changed.notify_waiters();
+    StatusCode::OK
+}
+
 async fn instances(State(store): State<StoreStandin>) -> Json<Vec<ListedInstance>> {
     Json(store.inner.state.lock().instances.clone())
 }
