--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -40,6 +40,8 @@
     pub directory: SocketAddr,
     /// For other instances.
     pub peers: SocketAddr,
+    /// For metrics; none are served without it.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Bounds that the operators set for a deployment.
--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -12,7 +12,7 @@
 
 use crate::demo::{DemoSettings, write_tree};
 use crate::observe::logs;
-use crate::settings::{InstanceSettings, LogFormat, LogSettings};
+use crate::settings::{InstanceSettings, LogSettings};
 use crate::shutdown::{StopSignals, shut_down};
 use crate::start::{Listeners, start};
 
@@ -36,6 +36,9 @@
         /// Settings file of the platform; by default the one that its environment names
         #[bpaf(argument("FILE"))]
         settings: Option<PathBuf>,
+        /// Port for metrics; none are served without one
+        #[bpaf(argument("PORT"))]
+        metrics_port: Option<u16>,
     },
     /// Check a settings file, or a tree, and say what is wrong with it.
     #[bpaf(command)]
@@ -46,6 +49,9 @@
         /// Tree file, JSON with comments
         #[bpaf(argument("FILE"))]
         tree: Option<PathBuf>,
+        /// Settings file of the platform
+        #[bpaf(argument("FILE"))]
+        platform_settings: Option<PathBuf>,
     },
     /// Run a whole system in one process, to be tried out.
     #[bpaf(command)]
@@ -132,8 +138,8 @@
 fn execute(command: Command) -> Result<()> {
     match command {
         Command::Run { settings } => run(InstanceSettings::load(&settings)?),
-        Command::Site { settings } => site(settings),
-        Command::Check { settings, tree } => check(settings, tree),
+        Command::Site { settings, metrics_port } => site(settings, metrics_port),
+        Command::Check { settings, tree, platform_settings } => check(settings, tree, platform_settings),
         Command::Demo { instances, backends, seed, port, output } => {
             let settings =
                 DemoSettings::default().instances(instances).backends(backends).seed(seed).port(port);
@@ -147,11 +153,14 @@
     }
 }
 
-fn check(settings: Option<PathBuf>, tree: Option<PathBuf>) -> Result<()> {
-    if settings.is_none() && tree.is_none() {
-        return Err(
-            Error::new(ErrorKind::InvalidSettings, "nothing to check").hint("give --settings or --tree")
-        );
+fn check(settings: Option<PathBuf>, tree: Option<PathBuf>, platform: Option<PathBuf>) -> Result<()> {
+    if settings.is_none() && tree.is_none() && platform.is_none() {
+        return Err(Error::new(ErrorKind::InvalidSettings, "nothing to check")
+            .hint("give --settings, --tree or --platform-settings"));
+    }
+    if let Some(path) = platform {
+        let settings = burdock_platform::settings::load(&path)?;
+        println!("{}: settings of {} are good", path.display(), settings.instance);
     }
     if let Some(path) = settings {
         let settings = InstanceSettings::load(&path)?;
@@ -187,10 +196,11 @@
 /// Threads for requests on each core of a machine.
 const SITE_THREADS_PER_CORE: f64 = 1.0;
 
-fn site(path: Option<PathBuf>) -> Result<()> {
-    logs::init(LogSettings { format: LogFormat::Json });
+fn site(path: Option<PathBuf>, metrics_port: Option<u16>) -> Result<()> {
+    logs::init_lines().map_err(|e| internal(&e))?;
     let path = path.unwrap_or_else(burdock_platform::settings::path);
-    let settings = burdock_platform::settings::load(&path)?;
+    let mut settings = burdock_platform::settings::load(&path)?;
+    settings.listen.metrics = metrics_port.map(|port| SocketAddr::new(settings.listen.peers.ip(), port));
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
     let threads = (settings.cores * SITE_THREADS_PER_CORE).ceil().max(1.0) as usize;
     block_on(threads, async move { crate::site::start::run(settings, &path).await })
--- a/crates/burdock-node/src/observe/mod.rs
+++ b/crates/burdock-node/src/observe/mod.rs
@@ -1,6 +1,8 @@
 //! What an instance tells of itself: counters, metrics, log lines and traces.
 
 pub mod counters;
+pub mod latency;
+pub mod line_writer;
 pub mod logs;
 pub mod metrics;
 pub mod trace;
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -45,9 +45,17 @@
     let arrived = node.clock.now();
     let (parts, incoming) = req.into_parts();
     let plan = node.plan.load_full();
-    let mut resp = match serve(&node, &plan, &parts, incoming, arrived).await {
-        Ok(resp) => resp,
-        Err(e) => refusal(&node, &e, &parts.headers),
+    let result = serve(&node, &plan, &parts, incoming, arrived).await;
+    let took = node.clock.now().since(arrived);
+    let mut resp = match result {
+        Ok(resp) => {
+            node.latency.answered.observe(took);
+            resp
+        }
+        Err(e) => {
+            node.latency.refused.observe(took);
+            refusal(&node, &e, &parts.headers)
+        }
     };
     if node.phase() >= Phase::Draining {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -81,6 +89,9 @@
     if !plan.is_published() {
         return Err(refused(ErrorKind::NoBackend, "no configuration is known yet", Some(STARTING_PAUSE)));
     }
+    if node.phase() >= Phase::Finishing {
+        return Err(refused(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
+    }
     check_framing(&parts.headers)?;
     let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
     let path = parts.uri.path();
@@ -231,7 +242,7 @@
         node.counters.add(Counter::OverRate);
     }
     log::info!(
-        id:? = parts.headers.get(&node.dialect.attempt_id),
+        id = header(&parts.headers, &node.dialect.attempt_id).unwrap_or_default(),
         path = parts.uri.path(),
         version = plan.plan.version,
         held_ms = millis(node.clock.now().since(arrived)),
@@ -248,7 +259,7 @@
     };
     let place = outcome.place.as_ref();
     log::info!(
-        id:? = outbound.attempt_id,
+        id = outbound.attempt_id.to_str().unwrap_or_default(),
         expected_ms = place.map_or(0.0, |p| p.expected_ms.round()),
         load = place.map_or(0, |p| p.load),
         rank:? = place.and_then(|p| p.rank),
@@ -258,6 +269,7 @@
         service = outcome.service.as_str(),
         version = plan.plan.version,
         tried:? = tried,
+        zone = outcome.tried.last().map_or("", |b| b.registered.zone.as_str()),
         status = status,
         took_ms = millis(node.clock.now().since(outbound.arrived));
         "request {error}"
--- /dev/null
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -0,0 +1,52 @@
+//! Counters and latencies as text.
+
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::sync::Arc;
+
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+
+use crate::observe::counters::Counter;
+use crate::observe::line_writer;
+use crate::site::SiteNode;
+use crate::site::body::AnswerBody;
+
+/// Answers any path with all metrics.
+///
+/// # Errors
+/// Never.
+pub async fn handle(
+    node: Arc<SiteNode>,
+    _req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let mut resp = Response::new(AnswerBody::whole(text(&node)));
+    resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    Ok(resp)
+}
+
+/// All metrics, a line each.
+#[must_use]
+pub fn text(node: &SiteNode) -> String {
+    let mut text = String::new();
+    for counter in Counter::ALL {
+        let name = counter.name().replace('.', "_");
+        // Writing to a string does not fail.
+        let _done = writeln!(text, "burdock_{name} {}", node.counters.get(*counter));
+    }
+    let now = node.clock.now();
+    let store_age = node.mirror.confirmed().map_or(-1.0, |at| now.since(at).as_secs_f64());
+    let gauges = [
+        ("config_version", node.plan.load().plan.version as f64),
+        ("requests_in_flight", node.in_flight() as f64),
+        ("instances_listed", node.fleet.listed().len() as f64),
+        ("store_calls", node.kv.budget().total() as f64),
+        ("store_age_s", store_age),
+        ("log_lines_dropped", line_writer::dropped() as f64),
+    ];
+    for (name, value) in gauges {
+        let _done = writeln!(text, "burdock_{name} {value}");
+    }
+    text + &node.latency.answered.text("answered") + &node.latency.refused.text("refused")
+}
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod handle;
 pub mod hub;
+pub mod metrics;
 pub mod mirror;
 pub mod outbound;
 pub mod read_ahead;
@@ -37,6 +38,7 @@
 use crate::clock::Clock;
 use crate::node::Phase;
 use crate::observe::counters::Counters;
+use crate::observe::latency::Latency;
 use crate::shards::Sharded;
 use crate::site::allowances::Allowances;
 use crate::site::fleet::SiteFleet;
@@ -73,6 +75,8 @@
     pub allowances: Allowances,
     /// Counters.
     pub counters: Counters,
+    /// How long requests took.
+    pub latency: Latencies,
     budgets: Sharded<HashMap<ServiceName, Budget>>,
     splits: Sharded<HashMap<RouteName, SplitCounts>>,
     work_times: Sharded<HashMap<RouteName, WorkTime>>,
@@ -82,6 +86,15 @@
     last_request: AtomicU64,
 }
 
+/// How long requests took, by whether a backend server answered.
+#[derive(Debug, Default)]
+pub struct Latencies {
+    /// A backend server answered.
+    pub answered: Latency,
+    /// This instance refused, or no backend server answered.
+    pub refused: Latency,
+}
+
 /// Usual working time of a route's requests where their object ran lately.
 #[derive(Clone, Copy, Debug)]
 struct WorkTime {
@@ -120,6 +133,7 @@
             hub: Hub::default(),
             allowances: Allowances::default(),
             counters: Counters::default(),
+            latency: Latencies::default(),
             budgets: Sharded::default(),
             splits: Sharded::default(),
             work_times: Sharded::default(),
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -232,7 +232,7 @@
             let detail = result
                 .map_or_else(|_elapsed| "no connection in time".to_owned(), |r| r.err().unwrap_or_default());
             backend.unreachable(service.cold_for, node.clock.now());
-            log::info!(backend = name.as_str(), id:? = outbound.attempt_id; "unreachable: {detail}");
+            log::info!(backend = name.as_str(), id = outbound.attempt_id.to_str().unwrap_or_default(); "unreachable: {detail}");
             let error = Error::new(ErrorKind::NoBackend, format!("backend server `{name}`: {detail}"));
             return Err(Failed { progress: Progress::NotWritten, error, body: Some(body), answer: None });
         }
@@ -309,7 +309,7 @@
     let echoed = headers.get(&node.dialect.attempt_id);
     let stray = |what: &str| {
         backend.broke_answer(now);
-        log::info!(backend = name.as_str(), id:? = outbound.attempt_id, echoed:? = echoed; "{what}");
+        log::info!(backend = name.as_str(), id = outbound.attempt_id.to_str().unwrap_or_default(), echoed:? = echoed; "{what}");
         let error = Error::new(ErrorKind::BadAnswer, format!("backend server `{name}`: {what}"));
         Failed { progress: Progress::Written, error, body: None, answer: None }
     };
@@ -360,7 +360,7 @@
         Ok(Ok(Held::Long(body))) => body,
         Ok(Err(e)) => {
             backend.broke_answer(now);
-            log::info!(backend = name.as_str(), id:? = outbound.attempt_id; "the answer broke off: {e}");
+            log::info!(backend = name.as_str(), id = outbound.attempt_id.to_str().unwrap_or_default(); "the answer broke off: {e}");
             let error =
                 Error::new(ErrorKind::BadAnswer, format!("backend server `{name}`: the answer broke off"));
             return Err(Failed { progress: Progress::Written, error, body: None, answer: None });
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -18,7 +18,7 @@
 use crate::site::SiteNode;
 use crate::site::body::AnswerBody;
 use crate::site::read_ahead::ReadAhead;
-use crate::site::{directory, handle};
+use crate::site::{directory, handle, metrics};
 
 /// Descriptors that are kept for other things than callers' connections.
 const OTHER_FILES: usize = 1100;
@@ -48,6 +48,15 @@
     .await;
 }
 
+/// Serves metrics until the task is dropped.
+pub async fn serve_metrics(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    accept(node, listener, stop, LEAST_CONNECTIONS, |node, stream, stop| async move {
+        let handler = Arc::clone(&node);
+        connection(&node, stream, stop, move |req| metrics::handle(Arc::clone(&handler), req)).await;
+    })
+    .await;
+}
+
 async fn accept<F, Fut>(
     node: Arc<SiteNode>,
     listener: TcpListener,
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -7,7 +7,7 @@
 
 use burdock_model::ids::Life;
 use burdock_model::prelude::*;
-use burdock_model::site_settings::{SiteListen, SiteSettings};
+use burdock_model::site_settings::SiteSettings;
 use burdock_wire::client::Peers;
 use burdock_wire::messages::Hello;
 use tokio::net::TcpListener;
@@ -17,16 +17,16 @@
 
 use crate::node::Phase;
 use crate::shutdown::StopSignals;
-use crate::site::serve::{serve_callers, serve_directory};
+use crate::site::serve::{serve_callers, serve_directory, serve_metrics};
 use crate::site::{SiteNode, fleet, hub, sync};
 use crate::start::new_incarnation;
 
-/// The part of the time to stop after which idle connections are closed. Until then callers learn from the
-/// directory that this instance leaves.
-const CLOSE_AT: f64 = 0.55;
+/// The part of the time to stop after which new requests are refused as not run and idle connections close. Until
+/// then callers learn from the directory that this instance leaves; a request taken later might not end in time.
+const REFUSE_AT: f64 = 0.4;
 
 /// The part of the time to stop after which the process ends whatever still runs.
-const END_AT: f64 = 0.93;
+const END_AT: f64 = 0.88;
 
 /// How long no request must have come before a stop counts as done.
 const QUIET: Duration = Duration::from_millis(300);
@@ -62,16 +62,23 @@
         Peers::start(hello, PEER_THREADS).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
     let node = Arc::new(SiteNode::new(settings, life, peers));
     let (stop, stopping) = watch::channel(false);
-    let tasks = vec![
+    let metrics = match listen.metrics {
+        Some(address) => Some(bind(address, "metrics").await?),
+        None => None,
+    };
+    let mut tasks = vec![
         tokio::spawn(serve_callers(Arc::clone(&node), callers, stopping.clone())),
         tokio::spawn(serve_directory(Arc::clone(&node), ready, stopping.clone())),
-        tokio::spawn(serve_directory(Arc::clone(&node), directory, stopping)),
+        tokio::spawn(serve_directory(Arc::clone(&node), directory, stopping.clone())),
         tokio::spawn(fleet::register_loop(Arc::clone(&node))),
         tokio::spawn(sync::follow_loop(Arc::clone(&node))),
         tokio::spawn(sync::sweep_loop(Arc::clone(&node))),
         tokio::spawn(burdock_wire::server::serve(inner, node.peers.clone(), hub::handlers(&node))),
         tokio::spawn(hub::report_loop(Arc::clone(&node))),
     ];
+    if let Some(listener) = metrics {
+        tasks.push(tokio::spawn(serve_metrics(Arc::clone(&node), listener, stopping)));
+    }
     Ok(RunningSite { node, stop, tasks })
 }
 
@@ -103,12 +110,14 @@
         let began = node.clock.now();
         log::info!(in_flight = node.in_flight(); "stop begun");
         node.advance(Phase::Draining);
-        fleet::withdraw(node).await;
+        let withdrawn = Arc::clone(node);
+        tokio::spawn(async move { fleet::withdraw(&withdrawn).await });
         loop {
             tokio::time::sleep(LOOK).await;
             let elapsed = node.clock.now().since(began);
-            let closing = elapsed >= limit.mul_f64(CLOSE_AT);
+            let closing = elapsed >= limit.mul_f64(REFUSE_AT);
             if closing {
+                node.advance(Phase::Finishing);
                 self.stop.send_replace(true);
             }
             let done = closing && node.in_flight() == 0 && node.quiet_for() >= QUIET;
@@ -136,9 +145,3 @@
     let bound = TcpListener::bind(address).await;
     bound.map_err(|e| Error::new(ErrorKind::InvalidSettings, format!("{what}: {address}: {e}")))
 }
-
-/// Where an instance listens for readiness checks, for tests.
-#[must_use]
-pub const fn listen(running: &SiteSettings) -> SiteListen {
-    running.listen
-}
--- a/crates/burdock-node/tests/site.rs
+++ b/crates/burdock-node/tests/site.rs
@@ -309,6 +309,31 @@
     site.nodes.remove(1).stop().await;
 }
 
+// Seen once: a request taken 3.03 s after the signal, at a slow backend server, was cut at the end of the stop.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_late_in_a_stop_is_refused_as_not_run() {
+    let mut site = Site::start(1, 1).await;
+    let callers = site.callers(0);
+    // A connection that is at work when the others close.
+    let (tx, mut rx) = raw::open(callers).await;
+    let request = |id: &str| {
+        format!(
+            "GET /quotes/1?delay_ms=1700 HTTP/1.1\r\nhost: site.example\r\nx-burdockcroft-key: key-of-farm\r\nx-burdockcroft-attempt-id: {id}\r\n\r\n"
+        )
+    };
+    tx.send(request("first"));
+    let stop = tokio::spawn(site.nodes.remove(0).stop());
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    expect_that!(rx.next_status().await, some(eq(200)));
+    // By now new requests are refused, on a new connection by the system.
+    tokio::time::sleep(Duration::from_millis(1800)).await;
+    let late = site.send(callers, "GET", "/quotes/1", &[KEY], "").await;
+    expect_that!(late.is_none_or(|a| a.status == 503), eq(true));
+    stop.await.unwrap();
+    expect_that!(site.runs("first"), eq(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_reach_every_instance_when_the_store_forgets_its_history_or_is_away() {
@@ -345,6 +370,19 @@
     site.eventually(async || site.versions() == [2, 2, 2, 2]).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_what_was_answered_and_refused() {
+    let site = Site::start(1, 1).await;
+    site.get(0, "/quotes/1", &[KEY]).await.unwrap();
+    site.get(0, "/nothing/1", &[KEY]).await.unwrap();
+    let text = burdock_node::site::metrics::text(&site.nodes[0].node);
+    expect_that!(text, contains_substring("burdock_requests 2\n"));
+    expect_that!(text, contains_substring("burdock_requests_answered 1\n"));
+    expect_that!(text, contains_substring("burdock_config_version 1\n"));
+    expect_that!(text, contains_substring("burdock_request_ms_count{outcome=\"refused\"} 1\n"));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lapsed_lease_is_taken_anew() {
--- a/crates/burdock-node/tests/site_support/raw.rs
+++ b/crates/burdock-node/tests/site_support/raw.rs
@@ -68,3 +68,43 @@
     stream.write_all(bytes.as_bytes()).await.unwrap();
     tokio::time::sleep(stay).await;
 }
+
+/// The sending half of a connection.
+pub struct Sender(tokio::sync::mpsc::UnboundedSender<String>);
+
+/// The receiving half of a connection.
+pub struct Receiver(tokio::net::tcp::OwnedReadHalf);
+
+/// Opens a connection that is kept.
+pub async fn open(to: SocketAddr) -> (Sender, Receiver) {
+    let (read, mut write) = TcpStream::connect(to).await.unwrap().into_split();
+    let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel::<String>();
+    tokio::spawn(async move {
+        while let Some(text) = rx.recv().await {
+            if write.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    });
+    (Sender(tx), Receiver(read))
+}
+
+impl Sender {
+    pub fn send(&self, text: String) {
+        self.0.send(text).unwrap();
+    }
+}
+
+impl Receiver {
+    /// The status of the next answer; none when the connection ends first.
+    pub async fn next_status(&mut self) -> Option<u16> {
+        let mut buf = Vec::new();
+        while self.0.read_buf(&mut buf).await.unwrap_or(0) > 0 {
+            let text = String::from_utf8_lossy(&buf);
+            if let Some(line) = text.lines().next().filter(|_| text.contains("\r\n\r\n")) {
+                return line.split(' ').nth(1)?.parse().ok();
+            }
+        }
+        None
+    }
+}
