--- a/crates/burdock-node/src/admin/blocks.rs
+++ b/crates/burdock-node/src/admin/blocks.rs
@@ -1,7 +1,6 @@
 //! Client blocks: cut into compressed chunks that fit the store.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -9,8 +8,8 @@
 use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::hash::stable;
 use flate2::Compression;
-use flate2::read::ZlibDecoder;
-use flate2::write::ZlibEncoder;
+
+use crate::packing;
 
 /// Blocks in one chunk on average.
 const BLOCKS_PER_CHUNK: usize = 20_000;
@@ -46,21 +45,16 @@
     let failed = |e: std::io::Error| Error::new(ErrorKind::Internal, e.to_string());
     let mut sorted = lines.to_vec();
     sorted.sort_unstable();
-    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::default());
-    for line in sorted {
-        writeln!(encoder, "{line}").map_err(failed)?;
-    }
-    Ok(STANDARD.encode(encoder.finish().map_err(failed)?))
+    let text: String = sorted.into_iter().flat_map(|line| [line, "\n"]).collect();
+    Ok(STANDARD.encode(packing::pack(text.as_bytes(), Compression::default()).map_err(failed)?))
 }
 
 fn unpack(chunk: &str) -> Result<String> {
     let malformed =
         |detail: String| Error::new(ErrorKind::InvalidTree, format!("chunk of client blocks: {detail}"));
     let packed = STANDARD.decode(chunk).map_err(|e| malformed(e.to_string()))?;
-    let mut text = String::new();
-    let mut decoder = ZlibDecoder::new(packed.as_slice()).take(MAX_UNPACKED_BYTES);
-    decoder.read_to_string(&mut text).map_err(|e| malformed(e.to_string()))?;
-    Ok(text)
+    let text = packing::unpack(&packed, MAX_UNPACKED_BYTES).map_err(|e| malformed(e.to_string()))?;
+    String::from_utf8(text).map_err(|e| malformed(e.to_string()))
 }
 
 // The first two parts of an address: neighbours change together.
--- a/crates/burdock-node/src/entry/head.rs
+++ b/crates/burdock-node/src/entry/head.rs
@@ -8,10 +8,11 @@
 use burdock_model::error::{Error, ErrorKind, Result};
 use burdock_model::ids::OrganisationName;
 use burdock_model::snapshot::{OrganisationIx, Policy, RouteIx, Snapshot};
-use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, TRANSFER_ENCODING};
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Uri};
 
+use crate::forward::body::states_length_twice;
 use crate::forward::outbound::{DEADLINE, Outbound, REQUEST_ID, TRACEPARENT};
 use crate::in_force::InForce;
 use crate::node::Node;
@@ -134,11 +135,8 @@
     authenticate(node, snapshot, key, now).map(Some)
 }
 
-// Two lengths, or a length beside chunks, mean different bodies to different readers.
 fn check_framing(headers: &HeaderMap) -> Result<()> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    if lengths > 1 || (lengths == 1 && chunked) {
+    if states_length_twice(headers) {
         return Err(Error::new(ErrorKind::BadRequest, "the body's length is given twice")
             .hint("send one Content-Length, or chunks without it"));
     }
--- a/crates/burdock-node/src/forward/body.rs
+++ b/crates/burdock-node/src/forward/body.rs
@@ -4,6 +4,8 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use snafu::Snafu;
@@ -106,3 +108,11 @@
     }
     Ok(frame)
 }
+
+/// Whether the headers state a body's length twice: two lengths, or a length beside chunks, mean different bodies to
+/// different readers.
+#[must_use]
+pub fn states_length_twice(headers: &HeaderMap) -> bool {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING))
+}
--- a/crates/burdock-node/src/node.rs
+++ b/crates/burdock-node/src/node.rs
@@ -1,7 +1,7 @@
 //! What all parts of one instance share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwap;
 use burdock_decide::time::Time;
@@ -20,22 +20,10 @@
 use crate::limits::Limits;
 use crate::observe::counters::Counters;
 use crate::once::OnceTable;
+pub use crate::phase::Phase;
+use crate::phase::PhaseCell;
 use crate::settings::InstanceSettings;
 
-/// How far an instance is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
-pub enum Phase {
-    /// It has no configuration yet.
-    Starting,
-    /// It serves.
-    Ready,
-    /// It is out of steering answers and still serves.
-    Draining,
-    /// It refuses new work.
-    Finishing,
-}
-
 /// One running instance.
 #[derive(Debug)]
 pub struct Node {
@@ -69,7 +57,7 @@
     pub peers: Peers,
     /// Counters.
     pub counters: Counters,
-    phase: AtomicU8,
+    phase: PhaseCell,
     in_flight: AtomicUsize,
     last_request: AtomicU64,
     bytes_per_request: AtomicU64,
@@ -112,7 +100,7 @@
             store_calls: parts.store_calls,
             peers: parts.peers,
             counters: Counters::default(),
-            phase: AtomicU8::new(Phase::Starting as u8),
+            phase: PhaseCell::default(),
             in_flight: AtomicUsize::new(0),
             last_request: AtomicU64::new(0),
             bytes_per_request: AtomicU64::new(0),
@@ -123,18 +111,12 @@
     /// How far it is in its life.
     #[must_use]
     pub fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => Phase::Starting,
-            1 => Phase::Ready,
-            2 => Phase::Draining,
-            _ => Phase::Finishing,
-        }
+        self.phase.get()
     }
 
     /// Goes on to a phase. It never goes back.
     pub fn advance(&self, phase: Phase) {
-        let before = self.phase.fetch_max(phase as u8, Ordering::AcqRel);
-        if before < phase as u8 {
+        if self.phase.advance(phase) {
             log::info!("phase: {phase:?}");
         }
     }
--- a/crates/burdock-node/src/observe/line_writer.rs
+++ b/crates/burdock-node/src/observe/line_writer.rs
@@ -62,13 +62,13 @@
 }
 
 impl Append for LineWriter {
-    fn append(&self, record: &Record<'_>, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+    fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         let urgent = record.level() >= logforth::record::Level::Warn;
         if !urgent && !self.has_room() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        let mut line = self.layout.format(record, diagnostics)?;
+        let mut line = self.layout.format(record, diags)?;
         line.push(b'\n');
         if self.tx.try_send(line).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
--- a/crates/burdock-node/src/site/directory.rs
+++ b/crates/burdock-node/src/site/directory.rs
@@ -11,8 +11,8 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::node::Phase;
 use crate::observe::counters::Counter;
+use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::body::AnswerBody;
 
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -12,7 +12,7 @@
 use burdock_platform::store::StoreResult;
 use parking_lot::Mutex;
 
-use crate::node::Phase;
+use crate::phase::Phase;
 use crate::site::SiteNode;
 
 /// Life of an instance's entry without renewal: short enough that the directory forgets a dead instance before
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -11,16 +11,16 @@
 use burdock_model::site::{Organisation, PlanIndex, Route};
 use burdock_platform::dialect::Dialect;
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use crate::forward::body::RequestBody;
-use crate::node::Phase;
+use crate::forward::body::{RequestBody, states_length_twice};
 use crate::observe::counters::Counter;
+use crate::phase::Phase;
 use crate::site::body::AnswerBody;
 use crate::site::outbound::{Outbound, forwarded};
 use crate::site::send::{Outcome, Unanswered, run};
@@ -92,7 +92,9 @@
     if node.phase() >= Phase::Finishing {
         return Err(refused(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
     }
-    check_framing(&parts.headers)?;
+    if states_length_twice(&parts.headers) {
+        return Err(refused(ErrorKind::BadRequest, "the body's length is given twice", None));
+    }
     let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
     let path = parts.uri.path();
     let route = plan.route(host, path).map(|ix| &plan.plan.routes[ix]);
@@ -202,15 +204,6 @@
     }
 }
 
-// Two lengths, or a length beside chunks, mean different bodies to different readers.
-fn check_framing(headers: &HeaderMap) -> Result<(), Unanswered> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    if lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING)) {
-        return Err(refused(ErrorKind::BadRequest, "the body's length is given twice", None));
-    }
-    Ok(())
-}
-
 fn refusal(node: &SiteNode, e: &Unanswered, headers: &HeaderMap) -> Response<AnswerBody> {
     let ran = e.error.kind.answer().outcome;
     node.counters.add(match ran {
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -1,17 +1,16 @@
 //! What this instance knows of the store, in the order of the store's revisions, whoever told it.
 
 use std::collections::VecDeque;
-use std::io::{Read, Write};
 use std::time::Duration;
 
 use burdock_decide::time::Time;
 use burdock_platform::kv::{Record, Records};
 use burdock_wire::messages::{StoreNews, StoreRecord};
 use flate2::Compression;
-use flate2::read::ZlibDecoder;
-use flate2::write::ZlibEncoder;
 use parking_lot::Mutex;
 
+use crate::packing::{pack, unpack};
+
 /// Changes that are kept for other instances, by number and by bytes. An instance that lacks more asks the store.
 const KEPT_CHANGES: usize = 512;
 
@@ -143,7 +142,7 @@
 fn told(record: Record) -> StoreRecord {
     let Record { key, value, revision } = record;
     let large = value.as_ref().filter(|value| value.len() > PACKED_FROM_BYTES);
-    match large.and_then(|value| pack(value).ok()) {
+    match large.and_then(|value| pack(value, Compression::fast()).ok()) {
         Some(packed) => StoreRecord { key, value: Some(packed), packed: true, revision },
         None => StoreRecord { key, value, packed: false, revision },
     }
@@ -151,24 +150,12 @@
 
 fn heard(record: StoreRecord) -> std::io::Result<Record> {
     let value = match record.value {
-        Some(packed) if record.packed => Some(unpack(&packed)?),
+        Some(packed) if record.packed => Some(unpack(&packed, MAX_VALUE_BYTES)?),
         value => value,
     };
     Ok(Record { key: record.key, value, revision: record.revision })
 }
 
-fn pack(value: &[u8]) -> std::io::Result<Vec<u8>> {
-    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(value)?;
-    encoder.finish()
-}
-
-fn unpack(packed: &[u8]) -> std::io::Result<Vec<u8>> {
-    let mut value = Vec::new();
-    ZlibDecoder::new(packed).take(MAX_VALUE_BYTES).read_to_end(&mut value)?;
-    Ok(value)
-}
-
 fn size(record: &StoreRecord) -> usize {
     record.key.len() + record.value.as_ref().map_or(0, Vec::len)
 }
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -2,6 +2,7 @@
 //! servers from its store.
 
 pub mod allowances;
+pub mod attempt;
 pub mod backend;
 pub mod body;
 pub mod directory;
@@ -20,7 +21,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -36,9 +37,9 @@
 use burdock_wire::client::Peers;
 
 use crate::clock::Clock;
-use crate::node::Phase;
 use crate::observe::counters::Counters;
 use crate::observe::latency::Latency;
+use crate::phase::{Phase, PhaseCell};
 use crate::shards::Sharded;
 use crate::site::allowances::Allowances;
 use crate::site::fleet::SiteFleet;
@@ -81,7 +82,7 @@
     splits: Sharded<HashMap<RouteName, SplitCounts>>,
     work_times: Sharded<HashMap<RouteName, WorkTime>>,
     deadlines: Sharded<HashMap<RouteName, Duration>>,
-    phase: AtomicU8,
+    phase: PhaseCell,
     in_flight: AtomicUsize,
     last_request: AtomicU64,
 }
@@ -138,7 +139,7 @@
             splits: Sharded::default(),
             work_times: Sharded::default(),
             deadlines: Sharded::default(),
-            phase: AtomicU8::new(Phase::Starting as u8),
+            phase: PhaseCell::default(),
             in_flight: AtomicUsize::new(0),
             last_request: AtomicU64::new(0),
             settings,
@@ -148,18 +149,12 @@
     /// How far it is in its life.
     #[must_use]
     pub fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => Phase::Starting,
-            1 => Phase::Ready,
-            2 => Phase::Draining,
-            _ => Phase::Finishing,
-        }
+        self.phase.get()
     }
 
     /// Goes on to a phase. It never goes back.
     pub fn advance(&self, phase: Phase) {
-        let before = self.phase.fetch_max(phase as u8, Ordering::AcqRel);
-        if before < phase as u8 {
+        if self.phase.advance(phase) {
             log::info!(phase:? = phase, version = self.plan.load().plan.version; "phase");
         }
     }
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::node::Phase;
+use crate::phase::Phase;
 use crate::shutdown::StopSignals;
 use crate::site::serve::{serve_callers, serve_directory, serve_metrics};
 use crate::site::{SiteNode, fleet, hub, sync};
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -12,8 +12,8 @@
 use burdock_platform::store::StoreResult;
 use burdock_wire::messages::StoreNews;
 
-use crate::node::Phase;
 use crate::observe::counters::Counter;
+use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::mirror::records_of;
 
