Show both dialects in the demo; tidy the hub's list of regions

Change: three instances of a deployment on the platform beside the demo's own, on its store and backend servers.

--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -11,6 +11,7 @@
 use burdock_standin::store::StoreStandin;
 
 use crate::demo::{DemoSettings, write_tree};
+use crate::demo_site;
 use crate::observe::logs;
 use crate::settings::{InstanceSettings, LogSettings};
 use crate::shutdown::{StopSignals, shut_down};
@@ -210,9 +211,14 @@
     logs::init(LogSettings::default());
     let mut signals = StopSignals::listen().map_err(|e| internal(&e))?;
     let demo = settings.start().await?;
+    let sites = demo_site::start_beside(&demo).await?;
     match output {
-        Output::Text => println!("{}", demo.explain()),
-        Output::Json => println!("{}", demo.describe()),
+        Output::Text => println!("{}{}", demo.explain(), demo_site::explain(&sites)),
+        Output::Json => {
+            let mut line = demo.describe();
+            line["platform"] = demo_site::describe(&sites);
+            println!("{line}");
+        }
     }
     signals.next().await;
     demo.stop().await;
--- a/crates/burdock-node/src/lib.rs
+++ b/crates/burdock-node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod clock;
 pub mod demo;
+pub mod demo_site;
 pub mod entry;
 pub mod fleet;
 pub mod forward;
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -4,7 +4,7 @@
 //! Any instance answers as a hub whoever asks it; one that reaches no other is its own hub. A hub is lost
 //! without harm: the next in order takes over with what is reported to it from then on.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -252,10 +252,7 @@
 // Each pair of regions talks once: the first in order of name asks.
 async fn report_to_hubs(node: &Arc<SiteNode>) {
     let own = &node.settings.region;
-    let mut regions: Vec<&RegionName> = node.settings.regions.values().filter(|r| *r > own).collect();
-    regions.dedup();
-    regions.sort();
-    regions.dedup();
+    let regions: BTreeSet<&RegionName> = node.settings.regions.values().filter(|r| *r > own).collect();
     let calls = regions.into_iter().filter_map(|region| {
         let hub = node.hub.hub_of(node, region)?;
         Some(async move {
