Name the store's trouble and the admission of a request for what they are

Cause: store_back was called while the store was still away; check decided more than a check. Ruled out: a change of behaviour (compiled from the same statements).

--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -85,7 +85,7 @@
             }
             Err(e) => {
                 log::warn!("registration failed: {e}");
-                node.table.store_back(node.clock.now());
+                node.table.note_store_trouble(node.clock.now());
             }
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -138,7 +138,7 @@
             }
             Err(e) => {
                 log::warn!(lease = lease; "renewal failed: {e}");
-                node.table.store_back(node.clock.now());
+                node.table.note_store_trouble(node.clock.now());
             }
         }
     }
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -70,8 +70,8 @@
     incoming: Incoming,
     arrived: Time,
 ) -> Result<Response<AnswerBody>, Unanswered> {
-    let checked = check(node, plan, parts, arrived).await;
-    let outbound = checked.inspect_err(|e| note_refusal(node, parts, plan, e, arrived))?;
+    let admitted = admit(node, plan, parts, arrived).await;
+    let outbound = admitted.inspect_err(|e| note_refusal(node, parts, plan, e, arrived))?;
     let body = read_body(plan, &outbound, parts, incoming, node).await?;
     let outcome = run(node, plan, &outbound, body).await;
     note(node, plan, &outbound, &outcome);
@@ -80,7 +80,7 @@
     Ok(answered.resp)
 }
 
-async fn check<'a>(
+async fn admit<'a>(
     node: &Arc<SiteNode>,
     plan: &'a PlanIndex,
     parts: &Parts,
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -64,7 +64,7 @@
 }
 
 impl Hub {
-    /// The instance of a region to report to; none when this instance is to be its own hub.
+    /// The instance of a region to report to; none when that is this instance, or when none can be reached.
     #[must_use]
     pub fn hub_of(&self, node: &SiteNode, region: &RegionName) -> Option<PeerAddress> {
         let now = node.clock.now();
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -53,7 +53,7 @@
         match step {
             Ok(()) => {
                 if failing {
-                    node.table.store_back(node.clock.now());
+                    node.table.note_store_trouble(node.clock.now());
                     log::info!("the store answers again");
                 }
                 failing = false;
@@ -63,7 +63,7 @@
                     log::warn!(revision:? = node.mirror.revision(); "the store does not answer: {e}");
                 }
                 failing = true;
-                node.table.store_back(node.clock.now());
+                node.table.note_store_trouble(node.clock.now());
                 tokio::time::sleep(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.0))).await;
             }
         }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -38,7 +38,8 @@
 struct State {
     entries: BTreeMap<BackendId, Entry>,
     evacuated: BTreeSet<ZoneName>,
-    store_back: Option<Time>,
+    // The last moment at which the store was known to be out of reach.
+    store_trouble: Option<Time>,
     started: bool,
 }
 
@@ -139,9 +140,9 @@
         }
     }
 
-    /// Notes that the store was out of reach until now.
-    pub fn store_back(&self, now: Time) {
-        self.state.lock().store_back = Some(now);
+    /// Notes that the store is out of reach, or was until now: entries that go missing may only have lapsed.
+    pub fn note_store_trouble(&self, now: Time) {
+        self.state.lock().store_trouble = Some(now);
     }
 
     /// Drops entries whose time is over, and connections that are idle for too long.
@@ -248,7 +249,7 @@
 }
 
 fn remove(state: &mut State, id: &BackendId, now: Time) {
-    let lapsed = state.store_back.is_some_and(|at| now.since(at) < LAPSED_KEPT);
+    let lapsed = state.store_trouble.is_some_and(|at| now.since(at) < LAPSED_KEPT);
     let Some(entry) = state.entries.get_mut(id) else {
         return;
     };
