--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -112,7 +112,7 @@
         route,
         organisation: organisation.map(|o| &o.name),
         urgency: organisation.and_then(|o| o.urgency).unwrap_or(route.urgency),
-        regions: allowed_regions(route, organisation)?,
+        regions: common_regions(route, organisation)?,
         method: parts.method.clone(),
         target: parts.uri.clone(),
         headers: forwarded(&node.dialect, &parts.headers),
@@ -156,7 +156,7 @@
 }
 
 // Where route and organisation both name regions, both bind.
-fn allowed_regions<'a>(
+fn common_regions<'a>(
     route: &'a Route,
     organisation: Option<&'a Organisation>,
 ) -> Result<Vec<&'a RegionName>, Unanswered> {
