Look up the holders of shares again when a life becomes known

Cause: whom an instance asks for tokens was worked out only when records of shares arrived. One that restarted in an outage of the store and heard of the records before the heartbeats of their holders had nobody to ask, and refused every request with 429 until the store was back. Ruled out: a promise left behind by a change (that change is refused before it is announced), a taken address (the instance had become ready). Change: heartbeats and the platform's list tell whether other lives can be called than before; then the holders are looked up again. The process test tells the last answer when it fails.

--- a/crates/burdock-node/src/fleet/exchange.rs
+++ b/crates/burdock-node/src/fleet/exchange.rs
@@ -99,7 +99,10 @@
 /// Takes in what another instance tells.
 pub fn absorb(node: &Node, theirs: &Exchange, source: Source) {
     let now = node.clock.now();
-    node.fleet.observe(&theirs.heartbeats, source, now);
+    // Records name lives: whoever holds a share can be asked for tokens only once its life is known.
+    if node.fleet.observe(&theirs.heartbeats, source, now) {
+        records::apply(node);
+    }
     node.fleet.note_load(&theirs.sender.instance, theirs.load_per_mille);
     node.fleet.note_successions(theirs.successions.clone(), now);
     let news = node.quarantine.heard(&theirs.strikes, now);
--- a/crates/burdock-node/src/fleet/mod.rs
+++ b/crates/burdock-node/src/fleet/mod.rs
@@ -95,6 +95,13 @@
     pub revision: Revision,
 }
 
+impl FleetView {
+    fn calls_the_same(&self, other: &Self) -> bool {
+        let called = |e: &Entry| (e.life.clone(), e.peer_address);
+        self.entries.iter().map(called).eq(other.entries.iter().map(called))
+    }
+}
+
 impl Fleet {
     /// A fleet of this instance alone.
     #[must_use]
@@ -175,8 +182,9 @@
         self.refresh(now);
     }
 
-    /// Takes in the platform's list. Instances that are not in it are kept while they are heard of.
-    pub fn take_list(&self, list: &[ListedInstance], now: Time) {
+    /// Takes in the platform's list. Instances that are not in it are kept while they are heard of. Returns whether
+    /// other instances can be called now than before.
+    pub fn take_list(&self, list: &[ListedInstance], now: Time) -> bool {
         let listed = list.iter().any(|l| l.id == self.own.instance.as_str());
         self.contact.listed.store(u64::from(listed), Ordering::Release);
         let mut state = self.state.lock();
@@ -187,11 +195,11 @@
             state.take_listed(listed, now);
         }
         drop(state);
-        self.refresh(now);
+        self.refresh(now)
     }
 
-    /// Takes in heartbeats from another instance.
-    pub fn observe(&self, beats: &[Heartbeat], source: Source, now: Time) {
+    /// Takes in heartbeats from another instance. Returns whether other instances can be called now than before.
+    pub fn observe(&self, beats: &[Heartbeat], source: Source, now: Time) -> bool {
         let mut state = self.state.lock();
         let by_hash: HashMap<u32, usize> =
             state.members.iter().enumerate().map(|(ix, m)| (id_hash(&m.id), ix)).collect();
@@ -206,7 +214,7 @@
             }
         }
         drop(state);
-        self.refresh(now);
+        self.refresh(now)
     }
 
     /// Counts up this instance's own heartbeat.
@@ -323,8 +331,9 @@
         }
     }
 
-    // Works out anew what requests read without a lock.
-    fn refresh(&self, now: Time) {
+    // Works out anew what requests read without a lock. Returns whether other lives, or the same at other addresses,
+    // can be called now than before.
+    fn refresh(&self, now: Time) -> bool {
         let mut state = self.state.lock();
         let count = state.members.len();
         state.members.retain(|m| standing(m, count, now) != Standing::Gone);
@@ -337,7 +346,9 @@
         self.contact.majority_heard.store(majority.map_or(0, |t| t.0), Ordering::Release);
         self.contact.change_pending.store(u64::from(pending), Ordering::Release);
         self.contact.members.store(view.entries.len() as u64, Ordering::Release);
+        let changed = !view.calls_the_same(&self.view());
         self.view.store(Arc::new(view));
+        changed
     }
 }
 
--- a/crates/burdock-node/src/fleet/watch.rs
+++ b/crates/burdock-node/src/fleet/watch.rs
@@ -53,8 +53,10 @@
 /// Reads the platform's list of instances, again and again.
 pub async fn list_loop(node: Arc<Node>) {
     loop {
-        if let Ok(list) = (node.store.instances)(()).await {
-            node.fleet.take_list(&list, node.clock.now());
+        if let Ok(list) = (node.store.instances)(()).await
+            && node.fleet.take_list(&list, node.clock.now())
+        {
+            records::apply(&node);
         }
         // In a large fleet only some need a fresh list; heartbeats tell the rest.
         let factor = if is_watcher(&node) { 1.0 } else { 5.0 };
--- /dev/null
+++ b/crates/burdock-node/tests/borrow.rs
@@ -0,0 +1,55 @@
+//! Borrowing of tokens by an instance that has just started.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdock_decide::membership::Source;
+use burdock_model::ids::Incarnation;
+use burdock_node::demo::{DemoSettings, listed_instance};
+use burdock_node::fleet::{exchange, install};
+use burdock_node::limits::{borrow, records};
+use burdock_node::node::{Node, NodeParts};
+use burdock_platform::http::HttpStore;
+use burdock_standin::store::Fault;
+use burdock_wire::client::Peers;
+use burdock_wire::messages::{Hello, PeerAddress};
+use googletest::prelude::*;
+
+// In an outage of the store no new record is written, so the order in which a restarted instance hears of
+// records and of the lives that they name must not matter.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_learns_the_records_before_their_holders_borrows_from_them() {
+    let mut demo = DemoSettings::default().instances(3).backends(1).start().await.unwrap();
+    demo.store.inject(Fault { down_ms: Some(600_000), ..Fault::default() });
+    let holder = Arc::clone(&demo.nodes[0].node);
+    let before = demo.nodes.pop().unwrap();
+    let settings = before.node.settings.clone();
+    let incarnation = Incarnation(before.node.life.incarnation.0 + 1);
+    before.stop_at_once();
+
+    let mut life = holder.life.clone();
+    life.instance = settings.instance.clone();
+    life.incarnation = incarnation;
+    let hello = Hello { life, region: settings.region.clone(), zone: settings.zone.clone() };
+    let peers = Peers::start(hello, 1).unwrap();
+    let (store, store_calls) = HttpStore::new(settings.store.address).build();
+    let node = Arc::new(Node::new(NodeParts { settings, incarnation, store, store_calls, peers }));
+
+    let list: Vec<_> =
+        demo.nodes.iter().map(|n| listed_instance(&n.node.settings, &n.node.settings.listen)).collect();
+    node.fleet.take_list(&list, node.clock.now());
+    let peer = PeerAddress { id: holder.life.instance.clone(), address: holder.settings.listen.peers };
+    let revision = holder.in_force.load().snapshot.revision;
+    install::reach(&node, revision, Some(&peer)).await.unwrap();
+    for bucket in holder.limits.records.all() {
+        node.limits.records.take(&bucket, node.clock.now()).unwrap();
+    }
+    records::apply(&node);
+
+    let told = exchange::compose(&holder, 16);
+    exchange::absorb(&node, &told, Source::Answered(node.clock.now()));
+    let organisation = holder.in_force.load().snapshot.organisations[0].name.clone();
+    let deadline = node.clock.now() + Duration::from_secs(2);
+    expect_that!(borrow::admit(&node, &organisation, deadline).await, ok(anything()));
+}
--- a/crates/burdock-node/tests/processes.rs
+++ b/crates/burdock-node/tests/processes.rs
@@ -166,7 +166,7 @@
     cluster.kill(2);
     cluster.start_instance(2);
     cluster.wait_ready(2).await;
-    cluster.wait_for(async || cluster.get(2, "/quotes/1", &headers[..1]).await.unwrap().status == 200).await;
+    cluster.wait_served(2, "/quotes/1", &headers[..1]).await;
 
     cluster.store_fault(json!({"down_ms": 0})).await;
     cluster
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -264,6 +264,19 @@
         }
     }
 
+    /// Waits until an instance answers a path with 200; the last other answer is told when it does not.
+    pub async fn wait_served(&self, ix: usize, path: &str, headers: &[(&str, &str)]) {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.get(ix, path, headers).await;
+            if answer.as_ref().is_some_and(|a| a.status == 200) {
+                return;
+            }
+            assert!(Instant::now() < end, "{path} is not served by instance {ix}: {answer:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     pub fn key(&self, organisation: &str) -> &str {
         &self.keys.iter().find(|k| k.organisation == organisation).expect("the organisation is there").key
     }
