Start requests behind another on a connection at once

Ruled out: placement (the same service's other kind was served better). Change: the heads of requests without bodies are found in the bytes as they arrive; those that may be repeated start then, and the library takes the answer when their turn comes, so answers keep their order. A stop answers what was started before it closes. Bytes that were read ahead are shown to the library at once; before, bytes that came between its read and the read ahead could lie there until the next event. The test of a caller that leaves expected that nothing behind its request had run; now it may run beside it, so the test asks that backend servers finish neither.

--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -1,6 +1,5 @@
 //! The way of one request of a caller.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +10,9 @@
 use burdock_model::site::{Organisation, PlanIndex, Route};
 use burdock_platform::dialect::Dialect;
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -35,19 +34,20 @@
 /// The longest time that a request without a limit of its own is kept.
 const LONGEST: Duration = Duration::from_secs(60);
 
-/// Answers a request.
-///
-/// # Errors
-/// Never; a request that can't be served gets an answer that says so.
-pub async fn handle(node: Arc<SiteNode>, req: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+/// Answers a request that arrived at a time, with its body if it has one. A request that can't be served gets an
+/// answer that says so.
+pub async fn handle(
+    node: Arc<SiteNode>,
+    parts: Parts,
+    incoming: Option<Incoming>,
+    arrived: Time,
+) -> Response<AnswerBody> {
     let _at_work = node.begin_request();
     node.counters.add(Counter::Requests);
-    let arrived = node.clock.now();
-    let (parts, incoming) = req.into_parts();
     let plan = node.plan.load_full();
     let result = serve(&node, &plan, &parts, incoming, arrived).await;
     let took = node.clock.now().since(arrived);
-    let mut resp = match result {
+    match result {
         Ok(resp) => {
             node.latency.answered.observe(took);
             resp
@@ -56,18 +56,14 @@
             node.latency.refused.observe(took);
             refusal(&node, &e, &parts.headers)
         }
-    };
-    if node.phase() >= Phase::Draining {
-        resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(resp)
 }
 
 async fn serve(
     node: &Arc<SiteNode>,
     plan: &PlanIndex,
     parts: &Parts,
-    incoming: Incoming,
+    incoming: Option<Incoming>,
     arrived: Time,
 ) -> Result<Response<AnswerBody>, Unanswered> {
     let admitted = admit(node, plan, parts, arrived).await;
@@ -178,13 +174,13 @@
     plan: &PlanIndex,
     outbound: &Outbound<'_>,
     parts: &Parts,
-    incoming: Incoming,
+    incoming: Option<Incoming>,
     node: &SiteNode,
 ) -> Result<RequestBody, Unanswered> {
     let limit = plan.plan.caller_limits.body_bytes;
-    if incoming.is_end_stream() {
+    let Some(incoming) = incoming.filter(|body| !body.is_end_stream()) else {
         return Ok(RequestBody::Held(Bytes::new()));
-    }
+    };
     let length: Option<u64> = header(&parts.headers, &CONTENT_LENGTH).and_then(|v| v.parse().ok());
     if length.is_some_and(|length| length > limit) {
         return Err(refused(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None));
--- a/crates/burdock-node/src/site/read_ahead.rs
+++ b/crates/burdock-node/src/site/read_ahead.rs
@@ -23,39 +23,80 @@
     shared: Arc<Mutex<Shared>>,
 }
 
-#[derive(Debug)]
+/// Told of all bytes of a connection, once and in order.
+pub type OnBytes = Box<dyn FnMut(&[u8]) + Send>;
+
 struct Shared {
     stream: TcpStream,
     ahead: BytesMut,
     ended: bool,
+    on_bytes: OnBytes,
+}
+
+/// What reading ahead brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    /// Bytes that the protocol has not seen yet.
+    Bytes,
+    /// The caller has closed its end.
+    Ended,
 }
 
 impl ReadAhead {
     /// Wraps a connection.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
-        let shared = Shared { stream, ahead: BytesMut::new(), ended: false };
+    pub fn new(stream: TcpStream, on_bytes: OnBytes) -> Self {
+        let shared = Shared { stream, ahead: BytesMut::new(), ended: false, on_bytes };
         Self { shared: Arc::new(Mutex::new(shared)) }
     }
 
-    /// Ready when the caller has closed its end.
-    pub fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()> {
-        self.shared.lock().poll_ended(cx)
+    /// Reads what has come. Whoever gets bytes must let the protocol look at them, since it is not woken for them.
+    pub fn poll_fill(&self, cx: &mut Context<'_>) -> Poll<Filled> {
+        self.shared.lock().poll_fill(cx)
     }
 }
 
 impl Shared {
-    fn poll_ended(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while !self.ended && self.ahead.len() < MAX_AHEAD {
-            let mut bytes = [0; READ_BYTES];
-            let mut buf = ReadBuf::new(&mut bytes);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => self.ahead.extend_from_slice(buf.filled()),
-                Poll::Ready(_) => self.ended = true,
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<Filled> {
+        if self.ended {
+            return Poll::Ready(Filled::Ended);
+        }
+        if self.ahead.len() >= MAX_AHEAD {
+            return Poll::Pending;
+        }
+        let mut bytes = [0; READ_BYTES];
+        let mut buf = ReadBuf::new(&mut bytes);
+        match std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+            Ok(()) if !buf.filled().is_empty() => {
+                (self.on_bytes)(buf.filled());
+                self.ahead.extend_from_slice(buf.filled());
+                Poll::Ready(Filled::Bytes)
+            }
+            Ok(()) | Err(_) => {
+                self.ended = true;
+                Poll::Ready(Filled::Ended)
             }
         }
-        if self.ended { Poll::Ready(()) } else { Poll::Pending }
+    }
+
+    fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            (self.on_bytes)(&buf.filled()[before..]);
+        }
+        read
+    }
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { stream, ahead, ended, on_bytes: _ } = self;
+        f.debug_struct("Shared")
+            .field("stream", stream)
+            .field("ahead", &ahead.len())
+            .field("ended", ended)
+            .finish_non_exhaustive()
     }
 }
 
@@ -66,7 +107,7 @@
             if shared.ended {
                 return Poll::Ready(Ok(()));
             }
-            return Pin::new(&mut shared.stream).poll_read(cx, buf);
+            return shared.poll_read(cx, buf);
         }
         let count = shared.ahead.len().min(buf.remaining());
         buf.put_slice(&shared.ahead[..count]);
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -6,7 +6,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,10 +15,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use crate::clock::Clock;
 use crate::forward::pool::detect_silence;
+use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::body::AnswerBody;
-use crate::site::read_ahead::ReadAhead;
+use crate::site::head_scan::HeadScan;
+use crate::site::pipeline::Pipeline;
+use crate::site::read_ahead::{Filled, OnBytes, ReadAhead};
 use crate::site::{directory, handle, metrics};
 
 /// Descriptors that are kept for other things than callers' connections.
@@ -33,8 +38,12 @@
 pub async fn serve_callers(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
     let room = node.settings.open_files.saturating_sub(OTHER_FILES).max(LEAST_CONNECTIONS);
     accept(node, listener, stop, room, |node, stream, stop| async move {
-        let handler = Arc::clone(&node);
-        connection(&node, stream, stop, move |req| handle::handle(Arc::clone(&handler), req)).await;
+        let pipeline = Arc::new(Pipeline::new(Arc::clone(&node)));
+        let (handler, requests) = (Arc::clone(&node), Arc::clone(&pipeline));
+        connection(&node, stream, stop, Some(&pipeline), move |req| {
+            answer(Arc::clone(&handler), Arc::clone(&requests), req)
+        })
+        .await;
     })
     .await;
 }
@@ -43,7 +52,7 @@
 pub async fn serve_directory(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
     accept(node, listener, stop, LEAST_CONNECTIONS, |node, stream, stop| async move {
         let handler = Arc::clone(&node);
-        connection(&node, stream, stop, move |req| directory::handle(Arc::clone(&handler), req)).await;
+        connection(&node, stream, stop, None, move |req| directory::handle(Arc::clone(&handler), req)).await;
     })
     .await;
 }
@@ -52,7 +61,7 @@
 pub async fn serve_metrics(node: Arc<SiteNode>, listener: TcpListener, stop: watch::Receiver<bool>) {
     accept(node, listener, stop, LEAST_CONNECTIONS, |node, stream, stop| async move {
         let handler = Arc::clone(&node);
-        connection(&node, stream, stop, move |req| metrics::handle(Arc::clone(&handler), req)).await;
+        connection(&node, stream, stop, None, move |req| metrics::handle(Arc::clone(&handler), req)).await;
     })
     .await;
 }
@@ -93,8 +102,13 @@
     }
 }
 
-async fn connection<F, Fut>(node: &SiteNode, stream: TcpStream, mut stop: watch::Receiver<bool>, f: F)
-where
+async fn connection<F, Fut>(
+    node: &SiteNode,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+    pipeline: Option<&Arc<Pipeline>>,
+    f: F,
+) where
     F: Fn(Request<Incoming>) -> Fut,
     Fut: Future<Output = Result<Response<AnswerBody>, Infallible>>,
 {
@@ -103,7 +117,7 @@
         return;
     }
     let limits = node.plan.load().plan.caller_limits;
-    let io = ReadAhead::new(stream);
+    let io = ReadAhead::new(stream, scan(node.clock, pipeline.map(Arc::clone)));
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -113,17 +127,68 @@
             // Boxed, so that a connection at rest does not hold the room of a request.
             .serve_connection(TokioIo::new(io.clone()), service_fn(|req| Box::pin(f(req))))
     );
-    let ended = std::future::poll_fn(|cx| match connection.as_mut().poll(cx) {
-        Poll::Ready(_ended) => Poll::Ready(()),
-        Poll::Pending => io.poll_ended(cx),
+    let mut told = pin!(async move {
+        // A sender that is gone means the same.
+        let _stop = stop.wait_for(|stop| *stop).await;
     });
-    tokio::select! {
-        () = ended => return,
-        _ = stop.wait_for(|stop| *stop) => {}
+    let (mut stopping, mut closing) = (false, false);
+    std::future::poll_fn(|cx| {
+        if !stopping && told.as_mut().poll(cx).is_ready() {
+            stopping = true;
+            pipeline.into_iter().for_each(|p| p.close());
+        }
+        loop {
+            // What was started behind another request is answered before the connection closes.
+            if stopping && !closing && pipeline.is_none_or(|p| p.is_drained()) {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            // How a connection ends is its caller's affair.
+            if connection.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            pipeline.into_iter().for_each(|p| p.start());
+            match std::task::ready!(io.poll_fill(cx)) {
+                Filled::Bytes => {}
+                Filled::Ended => return Poll::Ready(()),
+            }
+        }
+    })
+    .await;
+}
+
+// Tells a pipeline of the requests in a connection's bytes.
+fn scan(clock: Clock, pipeline: Option<Arc<Pipeline>>) -> OnBytes {
+    let mut scan = HeadScan::default();
+    match pipeline {
+        Some(pipeline) => {
+            Box::new(move |bytes| scan.feed(bytes, clock.now(), |found| pipeline.arrived(found)))
+        }
+        None => Box::new(|_bytes| {}),
+    }
+}
+
+// Answers a request of a caller when its turn has come.
+async fn answer(
+    node: Arc<SiteNode>,
+    pipeline: Arc<Pipeline>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (parts, incoming) = req.into_parts();
+    let turn = pipeline.turn(&parts);
+    let arrived = turn.arrived.unwrap_or_else(|| node.clock.now());
+    let early = match turn.answer {
+        Some(answer) => answer.await.inspect_err(|e| log::error!("a request's task ended: {e}")).ok(),
+        None => None,
+    };
+    let mut resp = match early {
+        Some(resp) => resp,
+        None => handle::handle(Arc::clone(&node), parts, Some(incoming), arrived).await,
+    };
+    if node.phase() >= Phase::Draining && pipeline.is_drained() {
+        resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    connection.as_mut().graceful_shutdown();
-    // How a connection ends is its caller's affair.
-    let _ended = connection.await;
+    Ok(resp)
 }
 
 /// The least room for a request's head, in bytes.
--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -174,6 +174,12 @@
         logs.filter(|ran| ran.id == id).count()
     }
 
+    /// Times that a request ran to its end.
+    pub fn finished(&self, id: &str) -> usize {
+        let logs = self.backends.iter().flat_map(|b| b.standin.log());
+        logs.filter(|ran| ran.id == id && ran.end_us > 0).count()
+    }
+
     pub fn callers(&self, ix: usize) -> SocketAddr {
         self.nodes[ix].node.settings.listen.callers
     }
--- a/crates/burdock-node/tests/site_support/raw.rs
+++ b/crates/burdock-node/tests/site_support/raw.rs
@@ -107,4 +107,18 @@
         }
         None
     }
+
+    /// The ids of the next answers, in the order in which they come; fewer when the connection ends first.
+    pub async fn next_ids(&mut self, count: usize) -> Vec<String> {
+        const HEADER: &str = "x-burdockcroft-attempt-id: ";
+        let mut buf = Vec::new();
+        loop {
+            let text = String::from_utf8_lossy(&buf).to_lowercase();
+            let ids: Vec<String> =
+                text.lines().filter_map(|l| l.strip_prefix(HEADER)).map(str::to_owned).collect();
+            if ids.len() >= count || self.0.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+                return ids;
+            }
+        }
+    }
 }
