Send callers to the strong instances of a mixed fleet

Cause: on the grown deployments each of some hundred instances sent to each of some hundred backend servers every 21 s on average, so connections lay idle for too long to be used again: 0.6 new ones for each request. And weak instances take fourteen times as long for the same work. Ruled out: relaying requests between instances (costs traffic between zones), subsets of backend servers for each instance (homes of objects would differ by instance, and work would run cold). Change: the directory names the strongest instances of a region that hold a fair part of its processors; the others stand by and help where those are lost.

--- a/crates/burdock-decide/src/cold.rs
+++ b/crates/burdock-decide/src/cold.rs
@@ -9,7 +9,7 @@
 use crate::limit::{Allotment, TOKEN};
 
 /// Instances that send to one cold backend server.
-const SENDERS: usize = 2;
+pub const SENDERS: usize = 2;
 
 /// Part of the bound that is used, so that two views of the fleet with no sender in common still keep it.
 const USED_PART: f64 = 0.5;
--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod apportion;
 pub mod cold;
 pub mod connectivity;
+pub mod entries;
 pub mod headers;
 pub mod limit;
 pub mod membership;
--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -137,7 +137,7 @@
 }
 
 /// An entry instance as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct RegisteredInstance {
     /// Its id.
     pub id: crate::ids::InstanceId,
@@ -154,6 +154,9 @@
     /// How much it can carry for others, as a class.
     #[serde(default)]
     pub strength: u32,
+    /// Cores that it may use.
+    #[serde(default)]
+    pub cores: f64,
 }
 
 /// A change of what the deployment consists of.
--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -91,12 +91,18 @@
     /// How much the machine can carry for others, as a class: each is twice the one below.
     #[must_use]
     pub fn strength(&self) -> u32 {
-        let product = (self.cpu_share * self.cores * self.link_mbps).max(0.0);
+        let product = (self.usable_cores() * self.link_mbps).max(0.0);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small number")]
         let class = (1.0 + product).log2() as u32;
         class
     }
 
+    /// Cores that the process may use.
+    #[must_use]
+    pub fn usable_cores(&self) -> f64 {
+        (self.cpu_share * self.cores).max(0.0)
+    }
+
     /// The region of an availability zone, if it is known.
     #[must_use]
     pub fn region_of(&self, zone: &ZoneName) -> Option<&RegionName> {
--- a/crates/burdock-node/src/site/directory.rs
+++ b/crates/burdock-node/src/site/directory.rs
@@ -15,6 +15,7 @@
 use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::body::AnswerBody;
+use crate::site::fleet::FleetView;
 
 /// How long callers may keep an answer, below the operators' bound: an instance that leaves is forgotten by
 /// callers before it ends.
@@ -43,7 +44,7 @@
         return Ok(status(StatusCode::NOT_FOUND));
     }
     let question = DirectoryQuestion::parse(req.uri().query());
-    let addresses = addresses(&node.fleet.listed(), &question);
+    let addresses = addresses(&node.fleet.view(), &question);
     if addresses.is_empty() || node.phase() == Phase::Starting {
         return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
     }
@@ -54,11 +55,11 @@
     Ok(resp)
 }
 
-/// The instances for a caller: those of its region, and others where those are few.
+/// The instances for a caller: those of its region that take callers, and others where those are few.
 #[must_use]
-pub fn addresses(listed: &[RegisteredInstance], question: &DirectoryQuestion) -> Vec<SocketAddr> {
+pub fn addresses(view: &FleetView, question: &DirectoryQuestion) -> Vec<SocketAddr> {
     let (near, far): (Vec<&RegisteredInstance>, Vec<&RegisteredInstance>) =
-        listed.iter().partition(|i| i.region.as_str() == question.region);
+        view.all_takers().partition(|i| i.region.as_str() == question.region);
     let more = if near.len() < LEAST_NEAR { far } else { Vec::new() };
     near.iter().chain(&more).map(|i| i.callers).take(MAX_ADDRESSES).collect()
 }
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -8,11 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use burdock_decide::apportion::{ApportionView, Handed, hears_all, hub_order, part};
+use burdock_decide::apportion::{ApportionView, Handed, hears_all, part};
 use burdock_decide::limit::{Allotment, Bucket, TOKEN};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
-use burdock_model::site::{Organisation, RegisteredInstance};
+use burdock_model::site::Organisation;
 use burdock_wire::messages::{Hello, Leave, LeaveQuestion, PeerAddress, StoreNews, Tally, Traffic};
 use burdock_wire::server::{Handler, Handlers};
 use futures::FutureExt;
@@ -71,10 +71,8 @@
     pub fn hub_of(&self, node: &SiteNode, region: &RegionName) -> Option<PeerAddress> {
         let now = node.clock.now();
         let out = self.out_until.lock();
-        let listed = node.fleet.listed();
-        let members: Vec<&RegisteredInstance> = listed.iter().filter(|i| i.region == *region).collect();
-        let order = hub_order(region.as_str(), members.into_iter(), |i| i.id.as_str(), |i| i.strength);
-        let first = order.into_iter().find(|i| out.get(&i.id).is_none_or(|until| now >= *until))?;
+        let view = node.fleet.view();
+        let first = view.hubs(region).find(|i| out.get(&i.id).is_none_or(|until| now >= *until))?;
         (first.id != node.life.instance).then(|| PeerAddress { id: first.id.clone(), address: first.peers })
     }
 
@@ -228,7 +226,7 @@
 async fn report(node: &Arc<SiteNode>) {
     let now = node.clock.now();
     let plan = node.plan.load();
-    node.hub.refresh(&plan.plan.organisations, node.fleet.expected_instances(), now);
+    node.hub.refresh(&plan.plan.organisations, node.fleet.view().expected, now);
     let traffic = Traffic {
         sender: node.life.instance.clone(),
         instances: 1,
@@ -279,7 +277,7 @@
 
 /// Asks for leave to pass on requests of an organisation: the hub, or this instance where it is its own.
 pub async fn ask(node: &Arc<SiteNode>, organisation: &Organisation, wanted: u32) -> Leave {
-    let expected = node.fleet.expected_instances();
+    let expected = node.fleet.view().expected;
     if let Some(hub) = node.hub.hub_of(node, &node.settings.region) {
         let question = LeaveQuestion {
             sender: node.life.instance.clone(),
@@ -303,7 +301,7 @@
     let Some(organisation) = found else {
         return Leave::default();
     };
-    let expected = node.fleet.expected_instances();
+    let expected = node.fleet.view().expected;
     node.hub.give_leave(organisation, question.wanted, expected, node.clock.now())
 }
 
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -227,7 +227,7 @@
     fn with_budget<R>(&self, service: &ServiceName, f: impl FnOnce(&mut Budget) -> R) -> R {
         const THOUSAND: f64 = 1000.0;
         let bounds = &self.settings.bounds;
-        let instances = self.fleet.expected_instances().max(1) as f64;
+        let instances = self.fleet.view().expected.max(1) as f64;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
         let (cap, ratio) = (
             (bounds.retry_slack / instances * RETRY_PART * THOUSAND) as u32,
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -107,7 +107,7 @@
         }
         let now = node.clock.now();
         node.table.retain(&listed.backends, &listed.evacuated, &node.plan.load(), now);
-        for instance in node.fleet.listed() {
+        for instance in &node.fleet.view().listed {
             if !listed.instances.contains(&instance.id) {
                 node.fleet.take(&instance.id, None, now);
             }
--- /dev/null
+++ b/crates/burdock-node/tests/site_fleet.rs
@@ -0,0 +1,96 @@
+//! Which instances callers are sent to, and which of them send to a backend server that is cold.
+
+use burdock_decide::cold;
+use burdock_decide::time::Time;
+use burdock_model::ids::{Incarnation, InstanceId, RegionName, ZoneName};
+use burdock_model::site::RegisteredInstance;
+use burdock_node::site::directory::addresses;
+use burdock_node::site::fleet::SiteFleet;
+use burdock_platform::dialect::DirectoryQuestion;
+use googletest::prelude::*;
+
+const REGIONS: [&str; 2] = ["riga", "jelgava"];
+const WEAK_IN_ZONE: u16 = 17;
+const STRONG_IN_ZONE: u16 = 2;
+
+fn instance(region: &str, zone: &str, nth: u16, is_strong: bool) -> RegisteredInstance {
+    let class = if is_strong { "strong" } else { "weak" };
+    let id = format!("{class}-{region}-{zone}-{nth}");
+    let address = |port: u16| format!("127.0.0.1:{port}").parse().unwrap();
+    let unique = u16::try_from(burdock_model::hash::stable(id.as_bytes(), 1) % 60_000).unwrap();
+    RegisteredInstance {
+        id: InstanceId::new(&id).unwrap(),
+        incarnation: Incarnation(1),
+        region: RegionName::new(region).unwrap(),
+        zone: ZoneName::new(&format!("{region}-{zone}")).unwrap(),
+        callers: address(unique),
+        peers: address(unique),
+        strength: if is_strong { 6 } else { 0 },
+        cores: if is_strong { 0.5 } else { 0.07 },
+    }
+}
+
+fn fleet() -> SiteFleet {
+    let fleet = SiteFleet::default();
+    for region in REGIONS {
+        for zone in ["a", "b"] {
+            let weak = (0..WEAK_IN_ZONE).map(|nth| instance(region, zone, nth, false));
+            let strong = (0..STRONG_IN_ZONE).map(|nth| instance(region, zone, nth, true));
+            for instance in weak.chain(strong) {
+                fleet.take(&instance.id.clone(), Some(instance), Time(1));
+            }
+        }
+    }
+    fleet
+}
+
+fn named(fleet: &SiteFleet, region: &str) -> usize {
+    let question = DirectoryQuestion { region: region.to_owned(), zone: format!("{region}-a") };
+    addresses(&fleet.view(), &question).len()
+}
+
+#[gtest]
+fn strong_instances_take_the_callers_of_a_mixed_fleet() {
+    let fleet = fleet();
+    expect_that!(named(&fleet, "riga"), eq(usize::from(STRONG_IN_ZONE) * 2));
+    let view = fleet.view();
+    expect_that!(view.all_takers().all(|i| i.strength == 6), eq(true));
+}
+
+#[gtest]
+fn the_weak_take_over_when_the_strong_of_a_zone_are_gone() {
+    let fleet = fleet();
+    for nth in 0..STRONG_IN_ZONE {
+        fleet.take(&instance("riga", "a", nth, true).id, None, Time(2));
+    }
+    expect_that!(named(&fleet, "riga"), eq(usize::from(WEAK_IN_ZONE * 2 + STRONG_IN_ZONE)));
+    expect_that!(named(&fleet, "jelgava"), eq(usize::from(STRONG_IN_ZONE) * 2));
+}
+
+#[gtest]
+fn a_lost_region_is_served_by_the_others() {
+    let fleet = fleet();
+    for i in fleet.view().listed.iter().filter(|i| i.region.as_str() == "riga") {
+        fleet.take(&i.id, None, Time(2));
+    }
+    expect_that!(named(&fleet, "riga"), eq(usize::from(STRONG_IN_ZONE) * 2));
+}
+
+// Instances that no caller is sent to have nothing to send to a cold backend server.
+#[gtest]
+fn only_instances_that_take_callers_send_to_a_cold_backend_server() {
+    let fleet = fleet();
+    let view = fleet.view();
+    for nth in 0..50 {
+        let backend = format!("backend-{nth}");
+        let names = || view.all_takers().map(|i| i.id.as_str());
+        let senders: Vec<&str> = view
+            .listed
+            .iter()
+            .map(|i| i.id.as_str())
+            .filter(|own| cold::sends(&backend, own, names()))
+            .collect();
+        expect_that!(senders.len(), eq(cold::SENDERS));
+        expect_that!(senders.iter().all(|id| id.starts_with("strong")), eq(true));
+    }
+}
--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -125,7 +125,7 @@
         }
         for ix in 0..count {
             self.eventually(async || self.ready(ix).await == 200).await;
-            self.eventually(async || self.nodes[ix].node.fleet.listed().len() == count).await;
+            self.eventually(async || self.nodes[ix].node.fleet.view().listed.len() == count).await;
         }
     }
 
