Pause longer between calls to a store that fails; hear of it from hubs of other regions

Cause: in an outage of the store every instance of a region called it three times a second, since its hub had nothing to relay; and where only a hub was cut off, all that report to it began watches of their own. Change: pauses grow with each failure, up to 2.5 s for instances whose hub tells them when the store is back. A hub whose own watch is late asks the hubs of the other regions, whose answers now carry what the store changed.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod answer;
 pub mod apportion;
+pub mod backoff;
 pub mod cold;
 pub mod connectivity;
 pub mod entries;
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use burdock_decide::apportion::hub_order;
+use burdock_decide::backoff::pause;
 use burdock_decide::entries::{EntryView, takers};
 use burdock_decide::time::Time;
 use burdock_model::ids::{InstanceId, RegionName};
@@ -25,8 +26,12 @@
 /// Time between two renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// The pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The pause before the entry is written again, after its lease has ended or a first call has failed. It is doubled
+/// with each further failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// The longest of these pauses: an instance is missing from the directory until its entry is back.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
 /// How long an instance that is no longer listed still counts for shares of what all have together, since it
 /// may only be cut off from the store.
@@ -148,18 +153,21 @@
 
 /// Registers this instance and keeps the entry alive until it leaves.
 pub async fn register_loop(node: Arc<SiteNode>) {
+    let mut failures = 0;
     while node.phase() < Phase::Draining {
         match register(&node).await {
             Ok(lease) => {
+                failures = 0;
                 log::info!(lease = lease, instance = node.life.instance.as_str(); "registered");
                 keep(&node, lease).await;
             }
             Err(e) => {
+                failures += 1;
                 log::warn!("registration failed: {e}");
                 node.table.note_store_trouble(node.clock.now());
             }
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(pause(failures, FIRST_PAUSE, LONGEST_PAUSE, rand::random())).await;
     }
 }
 
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -195,11 +195,8 @@
     Handlers {
         report: on(node, |node, traffic: Traffic| {
             let (now, revision) = (node.clock.now(), traffic.store.revision);
-            let follows = !traffic.from_hub;
             let mut answer = node.hub.heard(&node.life.instance, traffic, now);
-            if follows {
-                answer.store = node.mirror.news_since(revision, now);
-            }
+            answer.store = node.mirror.news_since(revision, now);
             Ok(answer)
         }),
         take_leave: on(node, |node, question: LeaveQuestion| Ok(leave(node, &question))),
@@ -255,16 +252,25 @@
     }
 }
 
-// Each pair of regions talks once: the first in order of name asks.
+// Each pair of regions talks once: the first in order of name asks. A hub that is out of touch with the store asks
+// all others, for what they know of it.
 async fn report_to_hubs(node: &Arc<SiteNode>) {
     let own = &node.settings.region;
-    let regions: BTreeSet<&RegionName> = node.settings.regions.values().filter(|r| *r > own).collect();
+    let asks_all = node.mirror.is_late(node.clock.now());
+    let asked = |region: &&RegionName| *region > own || (asks_all && *region != own);
+    let regions: BTreeSet<&RegionName> = node.settings.regions.values().filter(asked).collect();
     let calls = regions.into_iter().filter_map(|region| {
         let hub = node.hub.hub_of(node, region)?;
         Some(async move {
-            let summary = node.hub.summary(&node.life.instance, node.clock.now());
+            let now = node.clock.now();
+            let mut summary = node.hub.summary(&node.life.instance, now);
+            let from = node.mirror.revision().unwrap_or(0);
+            summary.store.revision = from;
             match node.peers.report(&hub, summary, REPORT_LIMIT).await {
-                Ok(answer) => node.hub.heard_hub(answer, node.clock.now()),
+                Ok(mut answer) => {
+                    sync::relayed(node, std::mem::take(&mut answer.store), now, from);
+                    node.hub.heard_hub(answer, node.clock.now());
+                }
                 Err(e) => {
                     log::info!(hub = hub.id.as_str(); "the hub of another region does not answer: {e:?}");
                     node.hub.set_out(&hub.id, node.clock.now());
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -24,8 +24,12 @@
 const MAX_VALUE_BYTES: u64 = 2 << 20;
 
 /// How old the store's confirmation may be, at the hub that passes it on, for this instance to go without a watch
-/// of its own. Beside a hub's wait it covers a round trip to the store and one report.
-pub const RELAY_BOUND: Duration = Duration::from_millis(1400);
+/// of its own. Beside a hub's wait it covers a round trip to the store and two reports, one of them between regions.
+pub const RELAY_BOUND: Duration = Duration::from_millis(1700);
+
+/// The age of the store's confirmation at which a hub asks other hubs for theirs: its own watch confirms more often,
+/// and what it hears then is still within the bound for relays when it has passed that on.
+const ASK_HUBS_AT: Duration = Duration::from_millis(900);
 
 /// The revision that this instance is at, and the changes that led there.
 #[derive(Debug, Default)]
@@ -62,6 +66,12 @@
         self.confirmed().is_some_and(|at| now.since(at) < RELAY_BOUND)
     }
 
+    /// Whether a hub should ask other hubs for what they know, because its own watch is late.
+    #[must_use]
+    pub fn is_late(&self, now: Time) -> bool {
+        self.confirmed().is_none_or(|at| now.since(at) >= ASK_HUBS_AT)
+    }
+
     /// Starts anew after everything was read. `apply` runs before anyone else is told.
     pub fn restart(&self, records: &Records, asked: Time, apply: impl FnOnce(&[Record])) {
         let mut state = self.state.lock();
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::backoff::pause;
 use burdock_decide::time::Time;
 use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_model::site::{PlanIndex, SiteChange};
@@ -26,8 +27,15 @@
 /// How often an instance that lives by relays looks whether they still come.
 const RELAY_LOOK: Duration = Duration::from_millis(100);
 
-/// The pause after a failed call, drawn from half to all of it.
-const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// The pause after the first failed call. It is doubled with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+
+/// The longest pause of a hub, on which the others of its region rely.
+const LONGEST_HUB_PAUSE: Duration = Duration::from_millis(800);
+
+/// The longest pause of another instance: its hub tells it when the store is back, so it tries for itself only in case
+/// that the hub alone is cut off.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2500);
 
 /// How often entries are swept.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,7 +46,7 @@
 /// Follows the store until the process ends: by a watch of its own as a hub or when no hub relays, else by what
 /// the hub relays with each report.
 pub async fn follow_loop(node: Arc<SiteNode>) {
-    let mut failing = false;
+    let mut failures = 0;
     loop {
         let now = node.clock.now();
         let is_hub = node.hub.hub_of(&node, &node.settings.region).is_none();
@@ -52,19 +60,20 @@
         };
         match step {
             Ok(()) => {
-                if failing {
+                if failures > 0 {
                     node.table.note_store_trouble(node.clock.now());
-                    log::info!("the store answers again");
+                    log::info!(failures = failures; "the store answers again");
                 }
-                failing = false;
+                failures = 0;
             }
             Err(e) => {
-                if !failing {
+                if failures == 0 {
                     log::warn!(revision:? = node.mirror.revision(); "the store does not answer: {e}");
                 }
-                failing = true;
+                failures += 1;
                 node.table.note_store_trouble(node.clock.now());
-                tokio::time::sleep(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.0))).await;
+                let longest = if is_hub { LONGEST_HUB_PAUSE } else { LONGEST_PAUSE };
+                tokio::time::sleep(pause(failures, FIRST_PAUSE, longest, rand::random())).await;
             }
         }
     }
--- /dev/null
+++ b/crates/burdock-node/tests/site_outage.rs
@@ -0,0 +1,64 @@
+//! Instances of a deployment while the store, or the way to it, is lost.
+
+mod site_support;
+
+use std::time::Duration;
+
+use burdock_standin::site::SamplePlan;
+use burdock_standin::store::Fault as StoreFault;
+use googletest::prelude::*;
+use site_support::Site;
+use site_support::link::Link;
+
+fn calls(site: &Site) -> Vec<u64> {
+    site.nodes.iter().map(|n| n.node.kv.budget().total()).collect()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_do_not_press_a_store_that_is_down() {
+    const OUTAGE: Duration = Duration::from_secs(5);
+    let site = Site::start(5, 1).await;
+    let before = calls(&site);
+    site.store.inject(StoreFault { down_ms: Some(60_000), ..StoreFault::default() });
+    tokio::time::sleep(OUTAGE).await;
+    let made = calls(&site).into_iter().zip(before).map(|(now, before)| now - before);
+    let mut made: Vec<u64> = made.collect();
+    made.sort_unstable();
+    // One of the five is the hub, which tries on. Each renews its lease every 1.5 s, and the others try about as often.
+    expect_that!(made[3], le(10));
+    site.store.inject(StoreFault { down_ms: Some(0), ..StoreFault::default() });
+    SamplePlan::new(2).publish(&site.store);
+    let back = std::time::Instant::now();
+    site.eventually(async || site.versions() == [2; 5]).await;
+    expect_that!(back.elapsed(), lt(Duration::from_millis(1500)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hub_that_lost_the_store_hears_of_it_from_the_other_regions() {
+    let mut site = Site::with_plan().await;
+    let mut links = Vec::new();
+    for region in ["riga", "riga", "riga", "jelgava", "daugavpils"] {
+        let link = Link::to(site.store_address).await;
+        site.add_instance_in(region, link.address).await;
+        links.push(link);
+    }
+    site.eventually(async || site.nodes.iter().all(|n| n.node.fleet.view().listed.len() == 5)).await;
+    let view = site.nodes[0].node.fleet.view();
+    let hub = view.hubs(&site.nodes[0].node.settings.region).next().unwrap().id.clone();
+    let cut = site.nodes.iter().position(|n| n.node.life.instance == hub).unwrap();
+    links[cut].cut();
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let before = calls(&site);
+    tokio::time::sleep(Duration::from_millis(2000)).await;
+    let after = calls(&site);
+    // Those that report to it go on without watches of their own: they only renew their leases.
+    for follower in (0..3).filter(|ix| *ix != cut) {
+        expect_that!(after[follower] - before[follower], le(2));
+    }
+    SamplePlan::new(2).publish(&site.store);
+    let changed = std::time::Instant::now();
+    site.eventually(async || site.versions() == [2; 5]).await;
+    expect_that!(changed.elapsed(), lt(Duration::from_millis(1500)));
+}
