Hold back requests that crash backend servers; tell a lost answer from a crash

Cause: the platform's dialect had no quarantine, so a request that crashes each backend server that runs it could go on doing so. And any connection that was reset counted its backend server as down for 0.7 s and as cold for its cold time after that, though a lost answer is far more common than a crash. Change: a backend server that broke off a request and accepts no new connection has died on it or beside it; that is held against the request (organisation, method, path, body), told to all instances with their reports, and after three such crashes with no answer in between the request is refused as not run, with the time after which it is let through again. An answered request is cleared, and what others tell of earlier crashes no longer counts; before, a suspect that was cleared became one again with the next exchange (own interface). A backend server that accepts a connection after a reset stays in use. Figures: both new tests of tests/site.rs fail without the change (the crashing request ran on all six backend servers; a lost answer was followed by 503).

--- a/crates/burdock-decide/src/quarantine.rs
+++ b/crates/burdock-decide/src/quarantine.rs
@@ -8,9 +8,13 @@
 
 use crate::time::Time;
 
-/// Crashes of distinct backend servers after which a request is refused.
+/// Crashes of distinct backend servers after which a request is refused, where suspects run alone.
 pub const STRIKES_TO_REFUSE: usize = 2;
 
+/// The same where suspects run beside other requests, which were at work in the same crashes. Each of those is cleared
+/// as soon as it is answered once.
+pub const SHARED_STRIKES_TO_REFUSE: usize = 3;
+
 /// How long it is refused.
 pub const REFUSED_FOR: Duration = Duration::from_secs(60);
 
@@ -55,6 +59,7 @@
 pub struct Strikes {
     backends: BTreeSet<BackendId>,
     last: Time,
+    cleared: Option<Time>,
 }
 
 /// How a request is to be run.
@@ -69,39 +74,45 @@
 }
 
 impl Strikes {
-    /// Counts a crash of a backend server while it ran the request. Returns whether it was news.
+    /// Counts a crash of a backend server while it ran the request. Returns whether it was news. A crash from before
+    /// the request was cleared, which another instance may tell late, does not count.
     ///
     /// With several requests at work there, each is a suspect.
-    pub fn crashed(&mut self, backend: &BackendId, now: Time) -> bool {
-        self.forget(now);
-        self.last = now;
+    pub fn crashed(&mut self, backend: &BackendId, at: Time) -> bool {
+        if self.cleared.is_some_and(|cleared| at <= cleared) {
+            return false;
+        }
+        self.forget(at);
+        self.last = self.last.max(at);
         self.backends.insert(backend.clone())
     }
 
-    /// A suspect ran alone and its backend server lived: it is cleared.
-    pub fn cleared(&mut self) {
+    /// The request ran and its backend server lived.
+    pub fn cleared(&mut self, now: Time) {
         self.backends.clear();
+        self.cleared = Some(now);
+        self.last = now;
     }
 
-    /// How to run the request now.
+    /// How to run the request now, if so many crashes are enough to refuse it.
     ///
     /// ```
-    /// use burdock_decide::quarantine::{Strikes, Verdict};
+    /// use burdock_decide::quarantine::{STRIKES_TO_REFUSE, Strikes, Verdict};
     /// use burdock_decide::time::Time;
     /// use burdock_model::ids::BackendId;
     /// let mut strikes = Strikes::default();
-    /// assert_eq!(strikes.verdict(Time(0)), Verdict::Run);
+    /// assert_eq!(strikes.verdict(STRIKES_TO_REFUSE, Time(0)), Verdict::Run);
     /// strikes.crashed(&BackendId::new("b1").unwrap(), Time(0));
-    /// assert_eq!(strikes.verdict(Time(0)), Verdict::RunAlone);
+    /// assert_eq!(strikes.verdict(STRIKES_TO_REFUSE, Time(0)), Verdict::RunAlone);
     /// strikes.crashed(&BackendId::new("b2").unwrap(), Time(0));
-    /// assert_eq!(strikes.verdict(Time(0)), Verdict::Refuse);
+    /// assert_eq!(strikes.verdict(STRIKES_TO_REFUSE, Time(0)), Verdict::Refuse);
     /// ```
     #[must_use]
-    pub fn verdict(&self, now: Time) -> Verdict {
+    pub fn verdict(&self, enough: usize, now: Time) -> Verdict {
         let since = now.since(self.last);
         match self.backends.len() {
             0 => Verdict::Run,
-            n if n >= STRIKES_TO_REFUSE && since < REFUSED_FOR => Verdict::Refuse,
+            n if n >= enough && since < REFUSED_FOR => Verdict::Refuse,
             _ if since < STRIKE_KEPT => Verdict::RunAlone,
             _ => Verdict::Run,
         }
@@ -113,6 +124,12 @@
         now.since(self.last) >= STRIKE_KEPT
     }
 
+    /// When the last crash was, or when the request was cleared.
+    #[must_use]
+    pub const fn last(&self) -> Time {
+        self.last
+    }
+
     /// The backend servers that crashed.
     pub fn backends(&self) -> impl Iterator<Item = &BackendId> {
         self.backends.iter()
--- a/crates/burdock-node/src/entry/guarded.rs
+++ b/crates/burdock-node/src/entry/guarded.rs
@@ -123,7 +123,7 @@
             End::Whole => {
                 held.in_flight.backend().outcome(true, now);
                 if held.alone {
-                    node.quarantine.cleared(held.fingerprint);
+                    node.quarantine.cleared(held.fingerprint, now);
                 }
                 node.observe_bytes(&held.in_flight.backend().region, self.received + held.sent_bytes);
                 held.in_flight.backend().pool.put(held.connection);
--- a/crates/burdock-node/src/forward/quarantine.rs
+++ b/crates/burdock-node/src/forward/quarantine.rs
@@ -17,32 +17,34 @@
 /// Strikes of all requests, by fingerprint.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    strikes: Sharded<HashMap<u64, (Strikes, Time)>>,
+    strikes: Sharded<HashMap<u64, Strikes>>,
     any: AtomicBool,
 }
 
 impl Quarantine {
-    /// How a request is to be run.
+    /// How a request is to be run, if so many crashes are enough to refuse it.
     #[must_use]
-    pub fn verdict(&self, fingerprint: u64, now: Time) -> Verdict {
+    pub fn verdict(&self, fingerprint: u64, enough: usize, now: Time) -> Verdict {
         if !self.any.load(Ordering::Relaxed) {
             return Verdict::Run;
         }
-        self.strikes.lock(fingerprint).get(&fingerprint).map_or(Verdict::Run, |(s, _)| s.verdict(now))
+        self.strikes.lock(fingerprint).get(&fingerprint).map_or(Verdict::Run, |s| s.verdict(enough, now))
     }
 
     /// Notes a crash. Returns whether it was news.
     pub fn crashed(&self, fingerprint: u64, backend: &BackendId, at: Time) -> bool {
         self.any.store(true, Ordering::Relaxed);
-        let mut shard = self.strikes.lock(fingerprint);
-        let (strikes, last) = shard.entry(fingerprint).or_default();
-        *last = (*last).max(at);
-        strikes.crashed(backend, at)
+        self.strikes.lock(fingerprint).entry(fingerprint).or_default().crashed(backend, at)
     }
 
-    /// A suspect ran alone and nothing crashed.
-    pub fn cleared(&self, fingerprint: u64) {
-        self.strikes.lock(fingerprint).remove(&fingerprint);
+    /// A suspect ran and nothing crashed.
+    pub fn cleared(&self, fingerprint: u64, now: Time) {
+        if !self.any.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Some(strikes) = self.strikes.lock(fingerprint).get_mut(&fingerprint) {
+            strikes.cleared(now);
+        }
     }
 
     /// The newest strikes, for other instances.
@@ -50,8 +52,8 @@
     pub fn told(&self, now: Time) -> Vec<Strike> {
         let mut told = Vec::new();
         for shard in self.strikes.each() {
-            for (fingerprint, (strikes, at)) in shard.iter().filter(|(_, (s, _))| !s.is_stale(now)) {
-                let age_ms = u32::try_from(now.since(*at).as_millis()).unwrap_or(u32::MAX);
+            for (fingerprint, strikes) in shard.iter().filter(|(_, s)| !s.is_stale(now)) {
+                let age_ms = u32::try_from(now.since(strikes.last()).as_millis()).unwrap_or(u32::MAX);
                 told.extend(strikes.backends().map(|backend| Strike {
                     fingerprint: *fingerprint,
                     backend: backend.clone(),
@@ -76,7 +78,7 @@
     /// Forgets what is too old to matter.
     pub fn sweep(&self, now: Time) {
         for mut shard in self.strikes.each() {
-            shard.retain(|_, (strikes, _)| !strikes.is_stale(now));
+            shard.retain(|_, strikes| !strikes.is_stale(now));
         }
     }
 }
--- a/crates/burdock-node/src/once/handle.rs
+++ b/crates/burdock-node/src/once/handle.rs
@@ -149,7 +149,7 @@
     node.observe_bytes(&backend.region, body.len() as u64 + sent_bytes);
     backend.pool.put(answered.connection);
     if alone {
-        node.quarantine.cleared(outbound.fingerprint);
+        node.quarantine.cleared(outbound.fingerprint, node.clock.now());
     }
     drop(permit);
     let headers = parts.headers.iter().map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec())).collect();
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::forward::body::RequestBody;
 use crate::forward::pool::Connection;
+use crate::observe::counters::Counter;
 use crate::site::SiteNode;
 use crate::site::backend::{Backend, InFlight};
 use crate::site::body::{AnswerBody, Held, hold};
@@ -41,6 +42,8 @@
     pub backend: &'a Arc<Backend>,
     /// Why it was chosen.
     pub chosen: &'a Place,
+    /// What stands for the request in quarantine.
+    pub fingerprint: u64,
 }
 
 /// Why an attempt brought no answer to pass on.
@@ -109,12 +112,17 @@
         Err(self.not_written(&detail, body))
     }
 
-    // A broken connection may be one broken answer. If the pool can't make a new one, the next attempt notes that.
+    // A broken connection may be one broken answer. Whether the backend server died is found out beside the next
+    // attempt, which goes elsewhere.
     fn broken(&self, e: &hyper::Error) -> Failed {
-        if e.is_parse() || e.is_incomplete_message() {
-            self.backend.broke_answer(self.now());
-        } else {
-            self.backend.unreachable(self.service.cold_for, self.now());
+        self.backend.broke_answer(self.now());
+        if !e.is_parse() {
+            tokio::spawn(note_if_dead(
+                Arc::clone(self.node),
+                Arc::clone(self.backend),
+                self.service.cold_for,
+                self.fingerprint,
+            ));
         }
         log::info!(backend = self.name().as_str(), id = self.id(); "broke its answer: {e}");
         self.written(ErrorKind::BadAnswer, &format!("broke its answer: {e}"))
@@ -198,6 +206,7 @@
             self.backend.answered(1.0, false, now);
             return;
         }
+        self.node.quarantine.cleared(self.fingerprint, now);
         let took_ms = now.since(sent).as_secs_f64() * 1e3;
         self.backend.answered(took_ms / self.chosen.expected_ms.max(1.0), true, now);
         if !self.chosen.queued {
@@ -233,6 +242,21 @@
     }
 }
 
+// A backend server that broke off a request and accepts no connection now has died on it, or beside it.
+async fn note_if_dead(node: Arc<SiteNode>, backend: Arc<Backend>, cold_for: Duration, fingerprint: u64) {
+    if backend.pool.accepts().await {
+        return;
+    }
+    let now = node.clock.now();
+    backend.pool.clear();
+    backend.unreachable(cold_for, now);
+    let id = &backend.registered.id;
+    log::info!(backend = id.as_str(), request = fingerprint; "died while a request was at work there");
+    if node.quarantine.crashed(fingerprint, id, now) {
+        node.counters.add(Counter::Strikes);
+    }
+}
+
 fn says_close(headers: &HeaderMap) -> bool {
     let value = headers.get(CONNECTION).and_then(|v| v.to_str().ok());
     value.is_some_and(|v| v.to_ascii_lowercase().contains("close"))
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -100,6 +100,7 @@
             at_work,
             from_hub: false,
             store: StoreNews::default(),
+            strikes: Vec::new(),
         }
     }
 
@@ -184,6 +185,7 @@
             at_work: tallies(&at_work),
             from_hub: true,
             store: StoreNews::default(),
+            strikes: Vec::new(),
         }
     }
 }
@@ -195,8 +197,10 @@
     Handlers {
         report: on(node, |node, traffic: Traffic| {
             let (now, revision) = (node.clock.now(), traffic.store.revision);
+            node.quarantine.heard(&traffic.strikes, now);
             let mut answer = node.hub.heard(&node.life.instance, traffic, now);
             answer.store = node.mirror.news_since(revision, now);
+            answer.strikes = node.quarantine.told(now);
             Ok(answer)
         }),
         take_leave: on(node, |node, question: LeaveQuestion| Ok(leave(node, &question))),
@@ -231,6 +235,7 @@
         at_work: node.table.at_work(),
         from_hub: false,
         store: StoreNews { revision: node.mirror.revision().unwrap_or(0), ..StoreNews::default() },
+        strikes: node.quarantine.told(now),
     };
     let from = traffic.store.revision;
     let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
@@ -242,6 +247,7 @@
     match node.peers.report(&hub, traffic, REPORT_LIMIT).await {
         Ok(answer) => {
             node.table.set_elsewhere(&answer.at_work);
+            node.quarantine.heard(&answer.strikes, node.clock.now());
             sync::relayed(node, answer.store, now, from);
         }
         Err(e) => {
@@ -266,8 +272,10 @@
             let mut summary = node.hub.summary(&node.life.instance, now);
             let from = node.mirror.revision().unwrap_or(0);
             summary.store.revision = from;
+            summary.strikes = node.quarantine.told(now);
             match node.peers.report(&hub, summary, REPORT_LIMIT).await {
                 Ok(mut answer) => {
+                    node.quarantine.heard(&answer.strikes, node.clock.now());
                     sync::relayed(node, std::mem::take(&mut answer.store), now, from);
                     node.hub.heard_hub(answer, node.clock.now());
                 }
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -39,6 +39,7 @@
 use burdock_wire::client::Peers;
 
 use crate::clock::Clock;
+use crate::forward::quarantine::Quarantine;
 use crate::observe::counters::Counters;
 use crate::observe::latency::Latency;
 use crate::phase::{Phase, PhaseCell};
@@ -76,6 +77,8 @@
     pub hub: Hub,
     /// Leave to pass on requests of organisations.
     pub allowances: Allowances,
+    /// Requests that crash backend servers.
+    pub quarantine: Quarantine,
     /// Counters.
     pub counters: Counters,
     /// How long requests took.
@@ -135,6 +138,7 @@
             peers,
             hub: Hub::default(),
             allowances: Allowances::default(),
+            quarantine: Quarantine::default(),
             counters: Counters::default(),
             latency: Latencies::default(),
             budgets: Sharded::default(),
--- a/crates/burdock-node/src/site/outbound.rs
+++ b/crates/burdock-node/src/site/outbound.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use burdock_decide::headers::HOP_BY_HOP;
+use burdock_decide::quarantine::{Identity, fingerprint};
 use burdock_decide::time::Time;
+use burdock_model::hash::stable;
 use burdock_model::ids::{BackendId, OrganisationName, RegionName};
 use burdock_model::site::Route;
 use burdock_platform::dialect::Dialect;
@@ -68,6 +70,22 @@
         req
     }
 
+    /// What stands for the request in quarantine. A body that is not held can't be told from others, so such a request
+    /// stands for itself alone.
+    #[must_use]
+    pub fn fingerprint(&self, body: &RequestBody) -> u64 {
+        let Some(body) = body.held() else {
+            return rand::random();
+        };
+        fingerprint(&Identity {
+            organisation: self.organisation.map_or("", OrganisationName::as_str),
+            method: self.method.as_str(),
+            path: self.target.path_and_query().map_or("/", |p| p.as_str()),
+            body: stable(body, 0),
+            idempotency_key: None,
+        })
+    }
+
     /// The time until its deadline.
     #[must_use]
     pub fn time_left(&self, now: Time) -> Duration {
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -5,6 +5,7 @@
 
 use burdock_decide::cold;
 use burdock_decide::place::{Place, PlaceView, crowding, place};
+use burdock_decide::quarantine::{REFUSED_FOR, SHARED_STRIKES_TO_REFUSE, Verdict};
 use burdock_decide::retry::{RetryView, may_retry};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
@@ -67,6 +68,11 @@
         place: None,
         service: service.name.clone(),
     };
+    let fingerprint = outbound.fingerprint(&body);
+    if node.quarantine.verdict(fingerprint, SHARED_STRIKES_TO_REFUSE, node.clock.now()) == Verdict::Refuse {
+        outcome.result = Err(quarantined(node));
+        return outcome;
+    }
     let mut body = Some(body);
     node.earn_retry(&service.name);
     loop {
@@ -83,7 +89,7 @@
         };
         outcome.tried.push(Arc::clone(&backend));
         outcome.place = Some(chosen);
-        let attempt = Attempt { node, outbound, service, backend: &backend, chosen: &chosen };
+        let attempt = Attempt { node, outbound, service, backend: &backend, chosen: &chosen, fingerprint };
         let failed = match attempt.make(current).await {
             Ok(answered) => {
                 outcome.result = Ok(answered);
@@ -130,6 +136,13 @@
     error.kind.answer().outcome == burdock_model::error::Outcome::Unknown
 }
 
+fn quarantined(node: &SiteNode) -> Unanswered {
+    node.counters.add(Counter::Quarantined);
+    let error = Error::new(ErrorKind::Quarantined, "the request crashed several backend servers")
+        .hint("change the request; it is held back for a minute after its last crash");
+    Unanswered { error, retry_after: Some(REFUSED_FOR) }
+}
+
 fn nothing_tried() -> Unanswered {
     Unanswered { error: Error::from(ErrorKind::NoBackend), retry_after: None }
 }
--- a/crates/burdock-node/tests/site.rs
+++ b/crates/burdock-node/tests/site.rs
@@ -447,3 +447,35 @@
     // Over more than a second; the bound is 6 a second by 1.5 and 5 more.
     expect_that!(got, all!(ge(1), le(14)));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_backend_servers_is_held_back_everywhere() {
+    let site = Site::start(2, 6).await;
+    for ix in 0..6 {
+        let fault = BackendFault { crash_on: Some("poison".to_owned()), ..BackendFault::default() };
+        site.standin(&format!("quotes-{ix}")).inject(fault);
+    }
+    let crashed = || (0..6).flat_map(|ix| site.standin(&format!("quotes-{ix}")).log()).count();
+    // It is sent again and again, to either instance.
+    for nth in 0..8 {
+        let answer = site.get(nth % 2, "/quotes/poison", &[KEY]).await.unwrap();
+        expect_that!(answer.status, any![eq(502), eq(503)]);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    // Three crashes, and an attempt that was under way when the third was told.
+    expect_that!(crashed(), all!(ge(3), le(4)));
+    // Another request at work in a crash is answered as usual.
+    expect_that!(site.get(0, "/quotes/good", &[KEY]).await.unwrap().status, eq(200));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_loses_an_answer_is_neither_down_nor_cold() {
+    let site = Site::start(1, 1).await;
+    expect_that!(site.get(0, "/quotes/1", &[KEY]).await.unwrap().status, eq(200));
+    expect_that!(site.get(0, "/quotes/1?close=headers", &[KEY]).await.unwrap().status, eq(502));
+    for _ in 0..10 {
+        expect_that!(site.get(0, "/quotes/1", &[KEY]).await.unwrap().status, eq(200));
+    }
+}
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -170,6 +170,8 @@
   complete @7 :Bool;
   # In an answer: how long ago the store confirmed the revision; the largest value for never.
   storeAgeMs @8 :UInt32 = 0xffffffff;
+  # Crashes of backend servers that are held against requests.
+  strikes @9 :List(Strike);
 }
 
 interface Peer {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -85,13 +85,7 @@
         to.set_age_ms(load.age_ms);
         to.set_accepting(load.accepting);
     }
-    let mut list = to.reborrow().init_strikes(count(&exchange.strikes));
-    for (ix, strike) in (0..).zip(&exchange.strikes) {
-        let mut to = list.reborrow().get(ix);
-        to.set_fingerprint(strike.fingerprint);
-        to.set_backend(strike.backend.as_str());
-        to.set_age_ms(strike.age_ms);
-    }
+    write_strikes(&exchange.strikes, to.reborrow().init_strikes(count(&exchange.strikes)));
     let mut list = to.reborrow().init_successions(count(&exchange.successions));
     for (ix, succession) in (0..).zip(&exchange.successions) {
         let mut to = list.reborrow().get(ix);
@@ -104,6 +98,15 @@
     }
 }
 
+fn write_strikes(strikes: &[Strike], mut to: capnp::struct_list::Builder<'_, wire::strike::Owned>) {
+    for (ix, strike) in (0..).zip(strikes) {
+        let mut to = to.reborrow().get(ix);
+        to.set_fingerprint(strike.fingerprint);
+        to.set_backend(strike.backend.as_str());
+        to.set_age_ms(strike.age_ms);
+    }
+}
+
 fn write_split(split: &Split, mut to: wire::split::Builder<'_>) {
     to.set_service(split.service.as_str());
     let mut list = to.init_per_million(count(&split.per_million));
@@ -221,6 +224,7 @@
     to.set_from_hub(traffic.from_hub);
     write_tallies(&traffic.demands, to.reborrow().init_demands(count(&traffic.demands)));
     write_tallies(&traffic.at_work, to.reborrow().init_at_work(count(&traffic.at_work)));
+    write_strikes(&traffic.strikes, to.reborrow().init_strikes(count(&traffic.strikes)));
     to.set_revision(traffic.store.revision);
     to.set_complete(traffic.store.complete);
     to.set_store_age_ms(traffic.store.age_ms.unwrap_or(NEVER));
@@ -250,6 +254,7 @@
             complete: from.get_complete(),
             age_ms: Some(from.get_store_age_ms()).filter(|age| *age != NEVER),
         },
+        strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
     })
 }
 
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -81,6 +81,8 @@
     pub from_hub: bool,
     /// What the sender knows of the store.
     pub store: StoreNews,
+    /// Crashes of backend servers that are held against requests.
+    pub strikes: Vec<Strike>,
 }
 
 /// What an instance knows of the store, and in an answer what the asker does not know yet.
