Leave an object's homes only for what a backend server loses beyond the usual

Cause: a refusal by a backend server counted as a failed run. Where all of a service refused half of their requests for some seconds, what an instance had counted differed by chance, a quarter of the requests went to strangers and a quarter to second homes, and work stayed cold for six seconds more. Ruled out: queues at the fewer instances (their processors are at a tenth), the budget for retries (the rule's). Change: refusals are counted apart, cost what a refusal costs, and only what lies beyond the mean of the service counts. What is expected of an answer no longer holds that cost, so it doesn't hide slowness.

--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -25,9 +25,12 @@
 /// servers that are alike otherwise, the emptier one is taken.
 const FILL_FACTOR: f64 = 0.25;
 
-/// The highest part of failed requests that is reckoned with, so that a cost stays finite.
+/// The highest part of failed or refused requests that is reckoned with, so that a cost stays finite.
 const MAX_FAILING: f64 = 0.95;
 
+/// What a refused request loses, in usual working times: it goes to a later home, or its caller comes again.
+const REFUSAL_FACTOR: f64 = 1.5;
+
 /// A backend server as a candidate for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -45,6 +48,8 @@
     pub slowness: f64,
     /// Part of its requests that fail.
     pub failing: f64,
+    /// Part of its requests that it refuses without running them.
+    pub refusing: f64,
     /// This instance knows that it ran the object lately.
     pub is_warm: bool,
     /// It takes this request.
@@ -73,7 +78,7 @@
 pub struct Place {
     /// Index of the candidate.
     pub ix: usize,
-    /// The time to expect until its answer is here.
+    /// The time to expect until its answer is here, if it neither fails nor refuses.
     pub expected_ms: f64,
     /// All slots were taken, so that it has to wait there.
     pub queued: bool,
@@ -88,7 +93,7 @@
 /// ```
 /// use burdock_decide::place::*;
 /// let near = Candidate { id_hash: 1, is_near: true, round_trip_ms: 1.0, slots: 2, load: 0, slowness: 1.0,
-///     failing: 0.0, is_warm: true, is_open: true };
+///     failing: 0.0, refusing: 0.0, is_warm: true, is_open: true };
 /// let far = Candidate { id_hash: 2, is_near: false, round_trip_ms: 100.0, ..near };
 /// let view = PlaceView { candidates: &[near, far], object: Some(9), work_ms: 50.0, queue_ms: 50.0,
 ///     crowding: 3.0, draw: 0 };
@@ -99,9 +104,10 @@
 #[must_use]
 pub fn place(view: &PlaceView<'_>) -> Option<Place> {
     let homes = Homes::of(view);
+    let usual = Usual::of(view.candidates);
     let count = view.candidates.len();
     let start = usize::try_from(view.draw % count.max(1) as u64).unwrap_or(0);
-    let mut best: Option<Place> = None;
+    let mut best: Option<(f64, Place)> = None;
     for step in 0..count {
         let ix = (start + step) % count;
         let candidate = &view.candidates[ix];
@@ -110,12 +116,14 @@
             continue;
         }
         let expected_ms = expected_ms(candidate, kinship.factor(), view);
-        if best.is_none_or(|b| expected_ms < b.expected_ms) {
+        let cost_ms = expected_ms + usual.lost_ms(candidate, expected_ms, view.work_ms);
+        if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
             let queued = !has_room(candidate, 1.0);
-            best = Some(Place { ix, expected_ms, queued, load: candidate.load, rank: kinship.rank() });
+            let place = Place { ix, expected_ms, queued, load: candidate.load, rank: kinship.rank() };
+            best = Some((cost_ms, place));
         }
     }
-    best
+    best.map(|(_, place)| place)
 }
 
 /// Requests that may be at a backend server for each of its slots, by urgency (0 is the most urgent): the more
@@ -164,6 +172,31 @@
     }
 }
 
+// What backend servers lose on average. Only what one loses beyond that speaks against it: where all lose alike, leaving
+// an object's homes would make its work cold and gain nothing.
+struct Usual {
+    failing: f64,
+    refusing: f64,
+}
+
+impl Usual {
+    fn of(candidates: &[Candidate]) -> Self {
+        let count = candidates.len().max(1) as f64;
+        let mean = |part: fn(&Candidate) -> f64| candidates.iter().map(part).sum::<f64>() / count;
+        Self { failing: mean(|c| c.failing), refusing: mean(|c| c.refusing) }
+    }
+
+    // Time lost by failures and refusals beyond the usual. A failed request has to be sent again elsewhere, at best.
+    fn lost_ms(&self, candidate: &Candidate, expected_ms: f64, work_ms: f64) -> f64 {
+        let odds = |part: f64, usual: f64| {
+            let beyond = (part - usual).clamp(0.0, MAX_FAILING);
+            beyond / (1.0 - beyond)
+        };
+        odds(candidate.failing, self.failing) * (expected_ms + COLD_FACTOR * work_ms)
+            + odds(candidate.refusing, self.refusing) * REFUSAL_FACTOR * work_ms
+    }
+}
+
 // The homes of an object, best first.
 struct Homes(Option<[Option<(f64, usize)>; HOMES]>);
 
@@ -216,11 +249,8 @@
     let load = f64::from(candidate.load);
     let ahead = (load + 1.0 - slots).max(0.0);
     let fill = (load / slots).min(1.0) * FILL_FACTOR * view.work_ms;
-    let at_work = candidate.slowness * (factor * view.work_ms + ahead / slots * view.queue_ms + fill);
-    let failing = candidate.failing.min(MAX_FAILING);
-    // A failed request has to be sent again elsewhere, at best.
-    let again = failing / (1.0 - failing) * (at_work + COLD_FACTOR * view.work_ms);
-    at_work + again + candidate.round_trip_ms
+    candidate.slowness * (factor * view.work_ms + ahead / slots * view.queue_ms + fill)
+        + candidate.round_trip_ms
 }
 
 // A well-spread hash of an already random word.
--- a/crates/burdock-decide/tests/place.rs
+++ b/crates/burdock-decide/tests/place.rs
@@ -89,6 +89,7 @@
             load: u32::try_from(s.ends.iter().filter(|end| **end > now).count()).unwrap(),
             slowness: 1.0,
             failing: 0.0,
+            refusing: 0.0,
             is_warm: false,
             is_open: s.open,
         };
@@ -191,12 +192,18 @@
         load: 0,
         slowness: 1.0,
         failing: 0.0,
+        refusing: 0.0,
         is_warm: false,
         is_open: true,
     };
     let all = [usual, Candidate { id_hash: 2, ..usual }, Candidate { id_hash: 3, ..usual }];
     let home = place(&view(&all)).unwrap().ix;
-    for worse in [Candidate { slowness: 5.0, ..all[home] }, Candidate { failing: 0.6, ..all[home] }] {
+    let worse = [
+        Candidate { slowness: 5.0, ..all[home] },
+        Candidate { failing: 0.6, ..all[home] },
+        Candidate { refusing: 0.6, ..all[home] },
+    ];
+    for worse in worse {
         let mut candidates = all;
         candidates[home] = worse;
         let chosen = place(&view(&candidates)).unwrap();
@@ -204,3 +211,42 @@
         expect_that!(chosen.rank, some(eq(1)));
     }
 }
+
+// Seen on two days of high load: for some seconds all backend servers of a service refused half of their requests. What
+// each instance had counted differed by chance, requests left their objects' homes for backend servers that seemed
+// better, and work was cold for as long again afterwards.
+#[gtest]
+fn objects_stay_at_home_while_all_backend_servers_refuse_alike() {
+    const SERVERS: u64 = 30;
+    const REFUSED_PART: f64 = 0.55;
+    // What one instance counts differs by about as much from backend server to backend server.
+    const SPREAD: f64 = 0.3;
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut at_home = 0;
+    for object in 0..400 {
+        let calm: Vec<Candidate> = (0..SERVERS)
+            .map(|ix| Candidate {
+                id_hash: stable(&ix.to_le_bytes(), 31),
+                is_near: ix % 3 == 0,
+                round_trip_ms: if ix % 3 == 0 { 1.0 } else { 40.0 },
+                slots: 9,
+                load: 2,
+                slowness: 1.0,
+                failing: 0.0,
+                refusing: 0.0,
+                is_warm: false,
+                is_open: true,
+            })
+            .collect();
+        let counted = || REFUSED_PART + SPREAD * (rng.random::<f64>() - 0.5);
+        let refused: Vec<f64> = std::iter::repeat_with(counted).take(calm.len()).collect();
+        let refusing: Vec<Candidate> =
+            calm.iter().zip(&refused).map(|(c, part)| Candidate { refusing: *part, ..*c }).collect();
+        let of = |candidates| {
+            let view = PlaceView { object: Some(stable(&[1], object)), work_ms: 350.0, ..view(candidates) };
+            place(&view).unwrap().ix
+        };
+        at_home += u32::from(of(&calm) == of(&refusing));
+    }
+    expect_that!(part(at_home, 400), ge(0.9));
+}
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -52,6 +52,7 @@
 struct State {
     slowness: f64,
     failing: f64,
+    refusing: f64,
     sampled: Time,
     out_until: Time,
     failures: u32,
@@ -67,6 +68,7 @@
         let state = State {
             slowness: 1.0,
             failing: 0.0,
+            refusing: 0.0,
             sampled: now,
             out_until: now,
             failures: 0,
@@ -135,6 +137,7 @@
             load: own + elsewhere.max(reported),
             slowness: 1.0 + (state.slowness - 1.0) * kept,
             failing: state.failing * kept,
+            refusing: state.refusing * kept,
             is_warm: false,
             is_open: is_open && now >= state.out_until,
         }
@@ -176,6 +179,7 @@
         let (least, most) = SLOWNESS_RANGE;
         state.slowness += (slowness.clamp(least, most) - state.slowness) * SAMPLE_WEIGHT;
         state.failing += (f64::from(u8::from(!good)) - state.failing) * SAMPLE_WEIGHT;
+        state.refusing -= state.refusing * SAMPLE_WEIGHT;
         state.sampled = now;
         state.failures = 0;
     }
@@ -183,7 +187,7 @@
     /// Takes in a refusal by a full or failing backend server.
     pub fn refused(&self, now: Time) {
         let mut state = self.state.lock();
-        state.failing += (1.0 - state.failing) * SAMPLE_WEIGHT;
+        state.refusing += (1.0 - state.refusing) * SAMPLE_WEIGHT;
         state.sampled = now;
     }
 
