--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -4,10 +4,11 @@
 
 #[path = "../support/link.rs"]
 pub mod link;
+#[path = "../support/ports.rs"]
+pub mod ports;
 pub mod raw;
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use burdock_node::site::start::{RunningSite, start};
@@ -145,7 +146,7 @@
     pub async fn add_instance_in(&mut self, region: &str, store: SocketAddr) {
         let zone = format!("{region}-a");
         let name = format!("edge-{zone}-{}", self.nodes.len() + 1);
-        let text = settings(&name, region, &zone, free_ports(), store);
+        let text = settings(&name, region, &zone, ports::free_ports(PORTS_PER_INSTANCE), store);
         let settings = burdock_platform::settings::parse(&text).unwrap();
         self.nodes.push(start(settings).await.unwrap());
     }
@@ -277,18 +278,3 @@
         }
     }
 }
-
-// Ports below the range that the system hands out by itself, apart from those of the other test files.
-fn free_ports() -> u16 {
-    const FIRST_PORT: u16 = 12_000;
-    const PORTS_PER_PROCESS: u16 = 240;
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = FIRST_PORT + u16::try_from(std::process::id() % 32).unwrap() * PORTS_PER_PROCESS;
-    loop {
-        let port = first + NEXT.fetch_add(PORTS_PER_INSTANCE, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let free = |p: u16| TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, p)).is_ok();
-        if (port..port + PORTS_PER_INSTANCE).all(free) {
-            return port;
-        }
-    }
-}
--- a/crates/burdock-node/tests/support/mod.rs
+++ b/crates/burdock-node/tests/support/mod.rs
@@ -3,12 +3,11 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod link;
+pub mod ports;
+pub mod process;
 
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use burdock_standin::backend::Ran;
@@ -19,26 +18,15 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
 use link::Link;
-
-/// The longest that anything is waited for before a test fails.
-pub const PATIENCE: Duration = Duration::from_secs(30);
-
-/// Ports for instances.
-const FIRST_PORT: u16 = 20_000;
-const LAST_PORT: u16 = 32_000;
+use ports::free_ports;
+use process::{PATIENCE, Process};
 
 const TOKEN: &str = "0123456789abcdef0123456789abcdef";
 
-/// A child process that is killed by its id when dropped.
-pub struct Process {
-    child: Child,
-}
-
 /// A set of processes: a store, backend servers, instances.
 pub struct Cluster {
     pub store: SocketAddr,
@@ -88,49 +76,6 @@
     }
 }
 
-impl Process {
-    fn start(args: &[&str]) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_burdockd"))
-            .args(args)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("burdockd starts");
-        Self { child }
-    }
-
-    /// The first line that the process prints, as JSON.
-    fn first_line(&mut self) -> Value {
-        let mut line = String::new();
-        let stdout = self.child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout).read_line(&mut line).expect("a line is printed");
-        serde_json::from_str(&line).expect("the line is JSON")
-    }
-
-    pub fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(i32::try_from(self.child.id()).expect("an id fits")), signal)
-            .expect("the process is there");
-    }
-
-    pub fn wait_end(&mut self) -> Option<i32> {
-        let end = Instant::now() + PATIENCE;
-        while Instant::now() < end {
-            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
-                return status.code();
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        panic!("the process did not end");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ended = self.child.kill();
-        let _reaped = self.child.wait();
-    }
-}
-
 impl Cluster {
     /// Starts a store, `backends` of each service and `instances`, and waits until all are ready.
     pub async fn start(instances: usize, backends: usize) -> Self {
@@ -198,7 +143,7 @@
     }
 
     fn proc_file(&self, ix: usize, name: &str) -> String {
-        let id = self.instances[ix].process.as_ref().expect("it runs").child.id();
+        let id = self.instances[ix].process.as_ref().expect("it runs").id();
         std::fs::read_to_string(format!("/proc/{id}/{name}")).expect("the process is there")
     }
 
@@ -353,7 +298,9 @@
     async fn prepare(ix: usize, store: SocketAddr, folder: &std::path::Path) -> Self {
         let (region, zone) = place(ix);
         let id = format!("{region}-{}", ix / sample::REGIONS.len() + 1);
-        let (callers, peers, admin) = (free_address(), free_address(), free_address());
+        let first = free_ports(3);
+        let at = |nth: u16| SocketAddr::from(([127, 0, 0, 1], first + nth));
+        let (callers, peers, admin) = (at(0), at(1), at(2));
         let (from_peers, to_store) = (Link::to(peers).await, Link::to(store).await);
         let settings = json!({
             "instance": id, "region": region, "zone": zone,
@@ -391,17 +338,3 @@
 fn address(value: &Value) -> SocketAddr {
     value.as_str().expect("an address").parse().expect("an address")
 }
-
-// Ports below the range that the system hands out by itself, so that nobody takes one between this look and
-// the moment when the process binds it.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = FIRST_PORT + u16::try_from(std::process::id() % 64).expect("a small number") * 128;
-    loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(port < LAST_PORT, "no free port");
-        if let Ok(listener) = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, port)) {
-            return listener.local_addr().expect("an address");
-        }
-    }
-}
