--- a/crates/burdock-ctl/src/cli.rs
+++ b/crates/burdock-ctl/src/cli.rs
@@ -8,7 +8,7 @@
 
 use crate::client::Client;
 use crate::load::{LoadSettings, load_settings};
-use crate::{commands, load};
+use crate::{commands, load, trace};
 
 /// How output is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,6 +163,16 @@
         #[bpaf(positional("SERVICE"))]
         service: String,
     },
+    /// Tell the story of a request from the logs of instances. Example: burdockctl trace 9c41d07be2a35f68 edge-*.log
+    #[bpaf(command)]
+    Trace {
+        /// Id of the request
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files; standard input without any
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Send requests at a steady rate and report latency. Example: burdockctl load --entry 127.0.0.1:8080 --key bk.a.b --rate 500 /quotes/1
     #[bpaf(command)]
     Load {
@@ -235,6 +245,9 @@
 }
 
 fn execute(options: Options) -> Result<()> {
+    if let Command::Trace { id, files } = &options.command {
+        return trace::run(id, files, options.output);
+    }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
     runtime.block_on(async move {
--- a/crates/burdock-ctl/src/commands.rs
+++ b/crates/burdock-ctl/src/commands.rs
@@ -64,7 +64,7 @@
                 .call(Call::json(Method::GET, &format!("/.burdock/v1/steer?service={service}"), None))
                 .await?
         }
-        Command::Load { .. } => return Err(Error::from(ErrorKind::Internal)),
+        Command::Load { .. } | Command::Trace { .. } => return Err(Error::from(ErrorKind::Internal)),
     };
     print::value(&result, output);
     Ok(())
--- a/crates/burdock-ctl/src/main.rs
+++ b/crates/burdock-ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod load;
 mod print;
+mod trace;
 
 fn main() -> std::process::ExitCode {
     cli::main()
