--- a/crates/burdock-node/tests/soak/world.rs
+++ b/crates/burdock-node/tests/soak/world.rs
@@ -93,6 +93,8 @@
 impl World {
     pub async fn start(seed: u64, instances: usize) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        // Logs of an earlier run of the seed would be taken for this one's.
+        let _absent = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder for logs");
         let store = StoreStandin::default();
         let any = "127.0.0.1:0".parse().expect("an address");
