Count an object's second home as colder than its first

Cause: at a start, and after backend servers leave, a second home that had never run an object was taken for half as warm, so objects warmed up twice while slots were short. A refusal costs accordingly more, so that a backend server which refuses most requests still loses its objects.

--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -8,7 +8,7 @@
 
 /// The working time to reckon with at each of an object's homes, relative to the first: a later one ran the object
 /// lately only if the first was full.
-const HOME_FACTORS: [f64; HOMES] = [1.0, 1.5];
+const HOME_FACTORS: [f64; HOMES] = [1.0, 2.2];
 
 /// Homes of each object. With more of them a backend server would get more objects than it can keep warm, and
 /// then all its work is cold.
@@ -29,7 +29,7 @@
 const MAX_FAILING: f64 = 0.95;
 
 /// What a refused request loses, in usual working times: it goes to a later home, or its caller comes again.
-const REFUSAL_FACTOR: f64 = 1.5;
+const REFUSAL_FACTOR: f64 = 2.5;
 
 /// A backend server as a candidate for one request.
 #[derive(Clone, Copy, Debug)]
--- a/crates/burdock-decide/tests/place.rs
+++ b/crates/burdock-decide/tests/place.rs
@@ -250,3 +250,16 @@
     }
     expect_that!(part(at_home, 400), ge(0.9));
 }
+
+// The first seconds after a start, when every first run of an object is cold and takes more slots than there are.
+#[gtest]
+fn cold_objects_wait_for_their_first_home_rather_than_warm_up_a_second() {
+    let (mut asked, mut warm) = (0, 0);
+    for seed in 0..8 {
+        let mut replay = Replay::new(seed);
+        let seen = replay.play(4.0, 300.0);
+        asked += seen.asked;
+        warm += seen.warm;
+    }
+    expect_that!(part(warm, asked), ge(0.735));
+}
