--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -256,7 +256,11 @@
 
 fn block_on(threads: usize, work: impl Future<Output = Result<()>>) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
-    runtime.map_err(|e| internal(&e))?.block_on(work)
+    let runtime = runtime.map_err(|e| internal(&e))?;
+    let result = runtime.block_on(work);
+    // What still runs is given up: taking it down piece by piece could outlast the time to stop on a slow machine.
+    runtime.shutdown_background();
+    result
 }
 
 fn internal(e: &std::io::Error) -> Error {
