--- a/crates/burdock-node/src/site/allowances.rs
+++ b/crates/burdock-node/src/site/allowances.rs
@@ -10,7 +10,7 @@
 use burdock_wire::messages::Tally;
 
 use crate::shards::Sharded;
-use crate::site::{SiteNode, hash_of, hub};
+use crate::site::{SiteNode, hash_of, report};
 
 /// Leave that is asked for at once lasts for this much of the demand, in seconds, so that a busy organisation
 /// does not take one question for each request.
@@ -118,7 +118,7 @@
         Step::Refuse(wait) => return Err(wait),
         Step::Ask(wanted) => wanted,
     };
-    let leave = hub::ask(node, organisation, wanted).await;
+    let leave = report::ask(node, organisation, wanted).await;
     let wait = Duration::from_millis(u64::from(leave.wait_ms));
     if node.allowances.given(hash, leave.granted, wait, node.clock.now()) { Ok(()) } else { Err(wait) }
 }
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -15,6 +15,7 @@
 pub mod outbound;
 pub mod pipeline;
 pub mod read_ahead;
+pub mod report;
 pub mod send;
 pub mod serve;
 pub mod start;
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -18,7 +18,7 @@
 use crate::phase::Phase;
 use crate::shutdown::StopSignals;
 use crate::site::serve::{serve_callers, serve_directory, serve_metrics};
-use crate::site::{SiteNode, fleet, hub, sync};
+use crate::site::{SiteNode, fleet, report, sync};
 use crate::start::new_incarnation;
 
 /// The part of the time to stop after which new requests are refused as not run and idle connections close. Until
@@ -73,8 +73,8 @@
         tokio::spawn(fleet::register_loop(Arc::clone(&node))),
         tokio::spawn(sync::follow_loop(Arc::clone(&node))),
         tokio::spawn(sync::sweep_loop(Arc::clone(&node))),
-        tokio::spawn(burdock_wire::server::serve(inner, node.peers.clone(), hub::handlers(&node))),
-        tokio::spawn(hub::report_loop(Arc::clone(&node))),
+        tokio::spawn(burdock_wire::server::serve(inner, node.peers.clone(), report::handlers(&node))),
+        tokio::spawn(report::report_loop(Arc::clone(&node))),
     ];
     if let Some(listener) = metrics {
         tasks.push(tokio::spawn(serve_metrics(Arc::clone(&node), listener, stopping)));
