--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -99,13 +99,15 @@
     pub fn heard(&self, own: &InstanceId, traffic: Traffic, now: Time) -> Traffic {
         let mut state = self.state.lock();
         let (sender, from_hub) = (traffic.sender.clone(), traffic.from_hub);
+        // An instance that stands by places nothing, and most of a large fleet does.
+        let places_requests = !(traffic.at_work.is_empty() && traffic.demands.is_empty());
         let heard = Heard { at: now, traffic };
         if from_hub {
             state.hubs.insert(sender, heard);
             return state.summary(own, now);
         }
         state.followers.insert(sender.clone(), heard);
-        let at_work = tallies(&state.at_work(Some(&sender), now));
+        let at_work = if places_requests { tallies(&state.at_work(Some(&sender), now)) } else { Vec::new() };
         Traffic {
             sender: own.clone(),
             instances: 0,
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -1,9 +1,10 @@
 //! What an instance hands out that serves as a hub all of a sudden.
 
 use burdock_decide::time::Time;
-use burdock_model::ids::OrganisationName;
+use burdock_model::ids::{InstanceId, OrganisationName};
 use burdock_model::site::Organisation;
 use burdock_node::site::hub::{Hub, Population};
+use burdock_wire::messages::{StoreNews, Tally, Traffic};
 use googletest::prelude::*;
 
 // Instances that lose their hub ask the next, or hand out their own part. All of those buckets would be full, beside the
@@ -28,3 +29,29 @@
     // A fifth of the rate for 0.3 s, not a fifth of the burst.
     expect_that!(hub.give_leave(&organisation, 1000, population, now).granted, le(6));
 }
+
+fn report(sender: &str, at_work: &[Tally]) -> Traffic {
+    Traffic {
+        sender: InstanceId::new(sender).unwrap(),
+        instances: 1,
+        demands: Vec::new(),
+        at_work: at_work.to_vec(),
+        from_hub: false,
+        store: StoreNews::default(),
+        strikes: Vec::new(),
+    }
+}
+
+// Seen in a sweep over 300 instances with 3,000 backend servers: half of the worth went into bytes between zones, most of
+// them loads for instances that stood by.
+#[gtest]
+fn only_instances_that_place_requests_are_told_the_loads_of_backend_servers() {
+    let (hub, own, now) = (Hub::default(), InstanceId::new("hub").unwrap(), Time::from_millis(1000));
+    let load = Tally { hash: 7, amount: 3.0 };
+    let _first = hub.heard(&own, report("busy", &[load]), now);
+    expect_that!(hub.heard(&own, report("standby", &[]), now).at_work, is_empty());
+    expect_that!(
+        hub.heard(&own, report("other", &[Tally { hash: 8, amount: 1.0 }]), now).at_work,
+        eq(&vec![load])
+    );
+}
