Start nothing behind a length that is no number

Cause: found in reading. The scan for heads read the length of a body more kindly than the server library does: a plus sign passed. The library refuses such a request, but what stood behind it could have been started while another was at work: a request smuggled in a body. Change: digits only; anything else ends the scan for that connection. Figures: tests/pipelining.rs, the request behind a length of +5 ran once before and does not now.

--- a/crates/burdock-node/src/site/head_scan.rs
+++ b/crates/burdock-node/src/site/head_scan.rs
@@ -134,7 +134,7 @@
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     match (lengths.next(), lengths.next()) {
         (None, _) => State::Head,
-        (Some(length), None) => match length.to_str().ok().and_then(|text| text.parse().ok()) {
+        (Some(length), None) => match digits(length) {
             Some(0) => State::Head,
             Some(length) => State::Body(length),
             None => State::Off,
@@ -143,6 +143,12 @@
     }
 }
 
+// Digits only, as the server library has it: what it refuses must not count as a length here.
+fn digits(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?;
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
     values.any(|value| value.to_ascii_lowercase().contains("close"))
--- a/crates/burdock-node/tests/pipelining.rs
+++ b/crates/burdock-node/tests/pipelining.rs
@@ -81,3 +81,20 @@
     expect_that!(rx.next_ids(2).await, eq(&ids("one two")));
     stop.await.unwrap();
 }
+
+// The server library refuses such a request and closes the connection, so nothing behind it is a request.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_started_behind_a_length_that_is_no_number() {
+    let site = Site::start(1, 2).await;
+    for length in ["+5", "5, 5", "0x5", ""] {
+        let (tx, mut rx) = raw::open(site.callers(0)).await;
+        let odd = format!(
+            "POST /quotes/2 HTTP/1.1\r\nhost: site.example\r\nx-burdockcroft-key: key-of-farm\r\nx-burdockcroft-attempt-id: odd\r\ncontent-length: {length}\r\n\r\nhello"
+        );
+        tx.send(format!("{}{odd}{}", request("/quotes/1", "one"), request("/quotes/3", "smuggled")));
+        expect_that!(rx.next_ids(1).await, eq(&ids("one")));
+        tokio::time::sleep(WORK * 2).await;
+        expect_that!(site.runs("smuggled"), eq(0), "length `{length}`");
+    }
+}
--- a/crates/burdock-node/tests/soak/callers.rs
+++ b/crates/burdock-node/tests/soak/callers.rs
@@ -66,6 +66,13 @@
     pub fault: Option<String>,
 }
 
+impl Record {
+    /// Whether a backend server's answer came.
+    pub fn is_served(&self) -> bool {
+        self.status == Some(200)
+    }
+}
+
 /// Callers at work.
 pub struct Callers {
     stop: watch::Sender<bool>,
--- a/crates/burdock-node/tests/soak/play.rs
+++ b/crates/burdock-node/tests/soak/play.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::callers::{Callers, Record};
+use crate::callers::Callers;
 use crate::checks;
 use crate::faults;
 use crate::world::World;
@@ -102,12 +102,5 @@
     missing.iter().map(|what| format!("after {:?} of calm: {what}", began.elapsed())).collect()
 }
 
-impl Record {
-    /// Whether a backend server's answer came.
-    pub fn is_served(&self) -> bool {
-        self.status == Some(200)
-    }
-}
-
 /// The signal of a planned stop.
 pub const PLANNED_STOP: Signal = Signal::SIGTERM;
