--- a/crates/burdock-node/tests/site_outage.rs
+++ b/crates/burdock-node/tests/site_outage.rs
@@ -15,6 +15,18 @@
     site.nodes.iter().map(|n| n.node.kv.budget().total()).collect()
 }
 
+// An instance in each of the regions, each with a link of its own to the store.
+async fn linked(regions: &[&str]) -> (Site, Vec<Link>) {
+    let mut site = Site::with_plan().await;
+    let mut links = Vec::new();
+    for region in regions {
+        let link = Link::to(site.store_address).await;
+        site.add_instance_in(region, link.address).await;
+        links.push(link);
+    }
+    (site, links)
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn instances_do_not_press_a_store_that_is_down() {
@@ -38,13 +50,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hub_that_lost_the_store_hears_of_it_from_the_other_regions() {
-    let mut site = Site::with_plan().await;
-    let mut links = Vec::new();
-    for region in ["riga", "riga", "riga", "jelgava", "daugavpils"] {
-        let link = Link::to(site.store_address).await;
-        site.add_instance_in(region, link.address).await;
-        links.push(link);
-    }
+    let (site, links) = linked(&["riga", "riga", "riga", "jelgava", "daugavpils"]).await;
     site.eventually(async || site.nodes.iter().all(|n| n.node.fleet.view().listed.len() == 5)).await;
     let view = site.nodes[0].node.fleet.view();
     let hub = view.hubs(&site.nodes[0].node.settings.region).next().unwrap().id.clone();
@@ -82,13 +88,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_starts_while_entries_are_missing_counts_on_the_others() {
-    let mut site = Site::with_plan().await;
-    let mut links = Vec::new();
-    for _ in 0..5 {
-        let link = Link::to(site.store_address).await;
-        site.add_instance_in("riga", link.address).await;
-        links.push(link);
-    }
+    let (mut site, links) = linked(&["riga"; 5]).await;
     site.eventually(async || site.nodes.iter().all(|n| n.node.fleet.recorded() == 5)).await;
     // The others can't write their entries anew.
     links.iter().for_each(Link::cut);
