--- a/crates/burdock-standin/src/backend.rs
+++ b/crates/burdock-standin/src/backend.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
 /// Header in the answer to a request that the backend server shed without running it.
@@ -170,14 +170,16 @@
         let mut listener = Some(bound);
         loop {
             if !*up.borrow_and_update() {
-                listener = None;
+                drop(listener.take());
+                let held = hold_port(address).await;
                 if up.changed().await.is_err() {
                     return;
                 }
+                listener = held.listen(ACCEPT_BACKLOG).ok();
                 continue;
             }
             let Some(open) = &listener else {
-                listener = rebind(address).await;
+                listener = hold_port(address).await.listen(ACCEPT_BACKLOG).ok();
                 continue;
             };
             tokio::select! {
@@ -382,13 +384,20 @@
     }
 }
 
-async fn rebind(address: SocketAddr) -> Option<TcpListener> {
-    const RETRY_DELAY: Duration = Duration::from_millis(20);
-    let bound = TcpListener::bind(address).await;
-    if bound.is_err() {
+/// Connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1024;
+
+// Binds a port without listening, so that connections are refused and no other server gets the port.
+async fn hold_port(address: SocketAddr) -> TcpSocket {
+    const RETRY_DELAY: Duration = Duration::from_millis(5);
+    loop {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let held = socket.and_then(|s| s.set_reuseaddr(true).and(s.bind(address)).map(|()| s));
+        if let Ok(held) = held {
+            return held;
+        }
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    bound.ok()
 }
 
 fn parse_options(query: &str) -> BTreeMap<&str, &str> {
