--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -134,6 +134,8 @@
     pub remaining_cold_time: Duration,
     /// Start time in Unix milliseconds, which tells successive processes under one id apart.
     pub started_ms: u64,
+    /// Number of the report among those of the process. A process that starts counts anew.
+    pub sequence: u64,
 }
 
 /// Registration of an instance.
@@ -270,6 +272,15 @@
                 return invalid(format!("route `{}` refers to an unknown service", route.name));
             }
         }
+        for organisation in &self.organisations {
+            let is_valid = |amount: f64| amount.is_finite() && amount >= 0.0;
+            if !is_valid(organisation.rate) || !is_valid(organisation.burst) {
+                return invalid(format!(
+                    "organisation `{}` needs a rate and a burst of 0 or more",
+                    organisation.name
+                ));
+            }
+        }
         Ok(())
     }
 }
--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -53,6 +53,9 @@
         /// Settings file of the platform
         #[bpaf(argument("FILE"))]
         platform_settings: Option<PathBuf>,
+        /// Configuration as the platform's store holds it
+        #[bpaf(argument("FILE"))]
+        platform_config: Option<PathBuf>,
     },
     /// Run a whole system in one process, to be tried out.
     #[bpaf(command)]
@@ -140,7 +143,9 @@
     match command {
         Command::Run { settings } => run(InstanceSettings::load(&settings)?),
         Command::Site { settings, metrics_port } => site(settings, metrics_port),
-        Command::Check { settings, tree, platform_settings } => check(settings, tree, platform_settings),
+        Command::Check { settings, tree, platform_settings, platform_config } => {
+            check(settings, tree, platform_settings, platform_config)
+        }
         Command::Demo { instances, backends, seed, port, output } => {
             let settings =
                 DemoSettings::default().instances(instances).backends(backends).seed(seed).port(port);
@@ -154,10 +159,28 @@
     }
 }
 
-fn check(settings: Option<PathBuf>, tree: Option<PathBuf>, platform: Option<PathBuf>) -> Result<()> {
-    if settings.is_none() && tree.is_none() && platform.is_none() {
+fn check(
+    settings: Option<PathBuf>,
+    tree: Option<PathBuf>,
+    platform: Option<PathBuf>,
+    platform_config: Option<PathBuf>,
+) -> Result<()> {
+    if settings.is_none() && tree.is_none() && platform.is_none() && platform_config.is_none() {
         return Err(Error::new(ErrorKind::InvalidSettings, "nothing to check")
-            .hint("give --settings, --tree or --platform-settings"));
+            .hint("give --settings, --tree, --platform-settings or --platform-config"));
+    }
+    if let Some(path) = platform_config {
+        let value = std::fs::read(&path)
+            .map_err(|e| Error::new(ErrorKind::InvalidTree, e.to_string()).at(path.display()))?;
+        let config = burdock_platform::decode::decode_config(&value).map_err(|e| e.at(path.display()))?;
+        let counts = (config.routes.len(), config.organisations.len());
+        println!(
+            "{}: configuration {} with {} routes and {} organisations is valid",
+            path.display(),
+            config.version,
+            counts.0,
+            counts.1
+        );
     }
     if let Some(path) = platform {
         let settings = burdock_platform::settings::load(&path)?;
--- a/crates/burdock-node/src/demo_site.rs
+++ b/crates/burdock-node/src/demo_site.rs
@@ -85,6 +85,7 @@
         state: "ready",
         cold_s: 0.0,
         started_ms: 1,
+        sequence: 1,
     }
 }
 
--- a/crates/burdock-node/src/entry/serve.rs
+++ b/crates/burdock-node/src/entry/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -29,6 +30,9 @@
 /// Maximum number of concurrent requests on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 200;
 
+/// Time for which new connections stay open in a shutdown although no request has come.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+
 /// How long a shutdown waits for open connections.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -40,7 +44,11 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
+            // Those that the system has accepted already are served, too.
+            _ = stop.wait_for(|stop| *stop) => match listener.accept().now_or_never() {
+                Some(accepted) => accepted,
+                None => break,
+            },
         };
         let Ok((stream, remote)) = accepted else {
             continue;
@@ -55,6 +63,8 @@
         });
     }
     drop(listener);
+    // A connection that was just accepted may have a request on its way.
+    tokio::time::sleep(FIRST_REQUEST_WAIT).await;
     // Connections that are still busy are closed; their requests were finished or refused before.
     let _late = tokio::time::timeout(SHUTDOWN_TIMEOUT, graceful.shutdown()).await;
 }
--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -30,8 +30,8 @@
 /// How long an idle connection is kept, below the ten seconds after which backend servers close theirs.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 
-/// How long sent bytes may stay unacknowledged before the connection is closed: enough for several
-/// retransmissions on the longest link, so that packet loss alone doesn't close it.
+/// How long bytes sent to a backend server may stay unacknowledged before the connection is closed: enough for
+/// several retransmissions on the longest link, so that packet loss alone doesn't close it.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Idle time before the first TCP keep-alive probe, and the interval between two probes.
@@ -174,7 +174,7 @@
         let stream = stream.map_err(|e| e.to_string())?;
         self.connect_us
             .store(u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX), Ordering::Relaxed);
-        enable_dead_peer_detection(&stream).map_err(|e| e.to_string())?;
+        enable_dead_peer_detection(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|e| e.to_string())?;
         let handshake =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
@@ -192,14 +192,18 @@
     }
 }
 
-/// Lets the kernel close a connection whose peer no longer responds.
+/// Lets the kernel close a connection whose peer no longer responds, or takes no bytes for
+/// `unacknowledged_timeout`.
 ///
 /// # Errors
 /// Returns an error when the kernel refuses a socket option.
-pub fn enable_dead_peer_detection(stream: &TcpStream) -> std::io::Result<()> {
+pub fn enable_dead_peer_detection(
+    stream: &TcpStream,
+    unacknowledged_timeout: Duration,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_RETRIES))
 }
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -80,6 +80,10 @@
     Installs => "config.installs",
     /// Configurations that could not be read or resolved.
     InstallsFailed => "config.installs_failed",
+    /// Invalid entries of backend servers, instances and zones that were ignored.
+    EntriesInvalid => "store.entries_invalid",
+    /// Background tasks that ended by an unexpected error and were started again.
+    TasksRestarted => "tasks.restarted",
     /// Share records written to the store.
     ShareWrites => "limits.share_writes",
 }
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -9,7 +9,8 @@
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::Service;
-use http::header::CONNECTION;
+use burdock_platform::dialect::parse_retry_after;
+use http::header::{CONNECTION, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
@@ -19,7 +20,7 @@
 use crate::observe::counters::Counter;
 use crate::site::SiteNode;
 use crate::site::backend::{Backend, InFlight};
-use crate::site::body::{ReadAnswer, ResponseBody, read_answer};
+use crate::site::body::{ReadAnswer, read_answer};
 use crate::site::outbound::Outbound;
 use crate::site::send::BackendAnswer;
 
@@ -30,6 +31,12 @@
 /// expected time.
 const MISSED_DEADLINE_SLOWNESS: f64 = 8.0;
 
+/// Times at which a missing answer counts as slow, relative to the expected one.
+const OVERDUE_FACTORS: [f64; 3] = [3.0, 6.0, 12.0];
+
+/// Expected time below which an answer is not overdue, in milliseconds.
+const MIN_EXPECTED_MS: f64 = 50.0;
+
 /// One attempt to send a request to a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt<'a> {
@@ -76,25 +83,31 @@
     /// request, the backend server refuses the request, or it answers a repeatable one with a server error.
     pub async fn run(&self, body: RequestBody) -> Result<BackendAnswer, AttemptFailure> {
         let in_flight = self.backend.begin_request();
+        let begun_before = self.backend.own_in_flight().saturating_sub(1);
         let (mut connection, body) = self.connect(body).await?;
         let sent_at = self.now();
+        if !self.backend.accepts(begun_before, sent_at) {
+            if !self.backend.is_leaving() {
+                self.backend.pool.release(connection);
+            }
+            return Err(self.not_written_failure("takes no further requests", body));
+        }
         let req = self.outbound.build_request(&self.node.dialect, self.name(), body, sent_at);
-        let answer =
-            tokio::time::timeout(self.outbound.time_left(sent_at), connection.try_send_request(req)).await;
+        let answer = self.wait_for_head(connection.try_send_request(req), sent_at).await;
         let resp = match answer {
-            Ok(Ok(resp)) => resp,
-            Ok(Err(mut e)) => {
+            Some(Ok(resp)) => resp,
+            Some(Err(mut e)) => {
                 return Err(match e.take_message() {
                     Some(req) => self.not_written_failure("closed", req.into_body()),
                     None => self.broken_connection_failure(&e.into_error()),
                 });
             }
-            Err(_elapsed) => {
+            None => {
                 self.backend.record_answer(MISSED_DEADLINE_SLOWNESS, true, self.now());
                 return Err(self.written_failure(ErrorKind::DeadlineAfter, "no answer by the deadline"));
             }
         };
-        self.record_reported_load(resp.headers());
+        self.record_reported_state(&resp);
         if let Some(failure) = self.check_head(&resp) {
             return Err(failure);
         }
@@ -102,6 +115,24 @@
         self.receive_body(AnswerHead { parts, sent_at, connection, in_flight }, incoming).await
     }
 
+    // Waits for an answer until the deadline. One that is overdue counts as slow before it arrives, so that
+    // further requests avoid the backend server meanwhile.
+    async fn wait_for_head<T>(&self, answer: impl Future<Output = T>, sent_at: Time) -> Option<T> {
+        let mut answer = std::pin::pin!(answer);
+        let expected = Duration::from_secs_f64(self.placement.expected_ms.max(MIN_EXPECTED_MS) / 1e3);
+        for factor in OVERDUE_FACTORS {
+            let left = (sent_at + expected.mul_f64(factor)).since(self.now());
+            if left >= self.outbound.time_left(self.now()) {
+                break;
+            }
+            if let Ok(found) = tokio::time::timeout(left, &mut answer).await {
+                return Some(found);
+            }
+            self.backend.record_overdue(factor, self.now());
+        }
+        tokio::time::timeout(self.outbound.time_left(self.now()), answer).await.ok()
+    }
+
     async fn connect(&self, body: RequestBody) -> Result<(Connection, RequestBody), AttemptFailure> {
         let timeout = self.outbound.time_left(self.now()).min(CONNECT_TIMEOUT);
         let detail = match tokio::time::timeout(timeout, self.backend.pool.acquire()).await {
@@ -130,13 +161,25 @@
         self.written_failure(ErrorKind::BadAnswer, &format!("broke its answer: {e}"))
     }
 
-    fn record_reported_load(&self, headers: &HeaderMap) {
-        let Some(text) = headers.get(&self.node.dialect.backend_load).and_then(|v| v.to_str().ok()) else {
+    // Records what the head of an answer says of the backend server. An answer of another request came on this
+    // connection, too, so it says the same.
+    fn record_reported_state(&self, resp: &Response<Incoming>) {
+        let (dialect, headers) = (&self.node.dialect, resp.headers());
+        let is_leaving = |name| headers.get(name).is_some_and(|value| value.as_bytes() != b"0");
+        if dialect.leaving.iter().any(is_leaving) {
+            self.node.backends.record_leaving(self.backend, self.now());
+        }
+        let retry_after = headers.get(RETRY_AFTER).and_then(|v| parse_retry_after(v.to_str().ok()?));
+        if let Some(wait) = retry_after.filter(|_| resp.status() == StatusCode::SERVICE_UNAVAILABLE) {
+            log::info!(backend = self.name().as_str(), wait_ms:? = wait.as_millis(); "turns this instance away");
+            self.backend.record_turned_away(wait, self.now());
+        }
+        let Some(text) = headers.get(&dialect.backend_load).and_then(|v| v.to_str().ok()) else {
             return;
         };
         let numbers: Vec<u32> = text.split(',').filter_map(|part| part.trim().parse().ok()).collect();
         if let [running, waiting, ..] = numbers.as_slice() {
-            self.backend.record_load_report(running + waiting, self.now());
+            self.backend.record_load_report(running.saturating_add(*waiting), self.now());
         }
     }
 
@@ -173,25 +216,31 @@
         incoming: Incoming,
     ) -> Result<BackendAnswer, AttemptFailure> {
         let AnswerHead { parts, sent_at, mut connection, in_flight } = head;
-        let is_closing = has_connection_close(&parts.headers);
+        // Without an id, a second copy of this answer can't be told from the answer to the next request.
+        let is_reusable = parts.headers.contains_key(&self.node.dialect.attempt_id)
+            && !has_connection_close(&parts.headers)
+            && !self.backend.is_leaving();
         if let Some(limit) = usable_idle_time(&parts.headers) {
             connection.set_max_idle_time(limit);
         }
         let timeout = self.outbound.time_left(self.now());
-        let body = match tokio::time::timeout(timeout, read_answer(incoming, connection, in_flight)).await {
-            Ok(Ok(ReadAnswer::Buffered(bytes, connection))) => {
-                if !is_closing {
+        let read =
+            read_answer(incoming, (connection, in_flight), is_reusable, self.node, self.outbound.deadline);
+        let body = match tokio::time::timeout(timeout, read).await {
+            Ok(Ok(ReadAnswer::Whole(body, connection))) => {
+                if is_reusable {
                     self.backend.pool.release(connection);
                 }
-                ResponseBody::buffered(bytes)
+                body
             }
-            Ok(Ok(ReadAnswer::Streamed(body))) => body,
+            Ok(Ok(ReadAnswer::Partial(body))) => body,
             Ok(Err(e)) => {
                 self.backend.record_broken_answer(self.now());
                 log::info!(backend = self.name().as_str(), id = self.id(); "the answer broke off: {e}");
                 return Err(self.written_failure(ErrorKind::BadAnswer, "the answer broke off"));
             }
             Err(_elapsed) => {
+                self.backend.record_broken_answer(self.now());
                 return Err(self
                     .written_failure(ErrorKind::DeadlineAfter, "the answer was incomplete at the deadline"));
             }
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -1,7 +1,7 @@
 //! State of one backend server as seen from this instance.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use burdock_decide::backoff::backoff_delay;
@@ -9,6 +9,7 @@
 use burdock_decide::limit::Bucket;
 use burdock_decide::place::Candidate;
 use burdock_decide::time::Time;
+use burdock_model::hash::stable_hash;
 use burdock_model::site::RegisteredBackend;
 use parking_lot::Mutex;
 
@@ -21,6 +22,12 @@
 /// Half-life of measurements, so that a backend server that was slow or failing is tried again.
 const SAMPLE_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Slowness of a backend server that is as fast as usual.
+const USUAL_SLOWNESS: f32 = 1.0;
+
+/// Slowness from which other instances are told. Below it measurements scatter by chance.
+const MIN_REPORTED_SLOWNESS: f64 = 1.8;
+
 /// Range to which a measured slowness is clamped, since a single request outside it says nothing more.
 const SLOWNESS_RANGE: (f64, f64) = (0.7, 25.0);
 
@@ -43,8 +50,12 @@
     /// Connections to the backend server.
     pub pool: Pool,
     hash: u64,
+    run_hash: u64,
+    is_leaving: AtomicBool,
     in_flight: AtomicU32,
     remote_in_flight: AtomicU32,
+    // Bits of an `f32`.
+    remote_slowness: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -59,6 +70,8 @@
     cold_until: Time,
     cold_bucket: Option<Bucket>,
     load_report: Option<(u32, Time)>,
+    // Until then the backend server wants no requests from this instance.
+    turned_away_until: Option<Time>,
 }
 
 impl Backend {
@@ -75,13 +88,17 @@
             cold_until: now,
             cold_bucket: None,
             load_report: None,
+            turned_away_until: None,
         };
         Self {
             pool: Pool::new(registered.address),
             hash: name_hash(registered.id.as_str()),
+            run_hash: stable_hash(registered.id.as_str().as_bytes(), registered.started_ms),
+            is_leaving: AtomicBool::new(false),
             region,
             in_flight: AtomicU32::new(0),
             remote_in_flight: AtomicU32::new(0),
+            remote_slowness: AtomicU32::new(USUAL_SLOWNESS.to_bits()),
             state: Mutex::new(state),
             registered,
         }
@@ -98,6 +115,53 @@
             && own.started_ms == other.started_ms
     }
 
+    /// Returns whether an entry is of a process that ran before the known one.
+    #[must_use]
+    pub const fn is_later_process(&self, other: &RegisteredBackend) -> bool {
+        other.started_ms < self.registered.started_ms
+    }
+
+    /// Returns the hash of the backend server's id and the start of its process.
+    #[must_use]
+    pub const fn run_hash(&self) -> u64 {
+        self.run_hash
+    }
+
+    /// Marks that the process is leaving and closes its idle connections. Returns whether that was known.
+    pub fn mark_leaving(&self) -> bool {
+        let was_leaving = self.is_leaving.swap(true, Ordering::Relaxed);
+        self.pool.close_idle();
+        was_leaving
+    }
+
+    /// Returns whether the process said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Records that the backend server wants no requests from this instance for some time.
+    pub fn record_turned_away(&self, wait: Duration, now: Time) {
+        let mut state = self.state.lock();
+        let until = now + wait;
+        state.turned_away_until = Some(state.turned_away_until.map_or(until, |known| known.max(until)));
+    }
+
+    /// Returns the time until which the backend server wants no requests from this instance, if it said one
+    /// and has taken no request since.
+    #[must_use]
+    pub fn turned_away_until(&self) -> Option<Time> {
+        self.state.lock().turned_away_until
+    }
+
+    /// Returns whether this instance may send a request now: the process is not leaving and has not turned
+    /// the instance away. `begun` is the number of the instance's requests there that have begun before.
+    #[must_use]
+    pub fn accepts(&self, begun: u32, now: Time) -> bool {
+        // Once the time has passed, a single request finds out whether the backend server takes more.
+        !self.is_leaving() && self.turned_away_until().is_none_or(|until| now >= until && begun == 0)
+    }
+
     /// Marks the backend server as cold for at least `cold_time` from now.
     pub fn mark_cold(&self, cold_time: Duration, now: Time) {
         let mut state = self.state.lock();
@@ -131,17 +195,18 @@
         let reported =
             state.load_report.filter(|(_, at)| now.since(*at) < LOAD_REPORT_TTL).map_or(0, |(n, _)| n);
         let remote_in_flight = self.remote_in_flight.load(Ordering::Relaxed);
+        let is_turned_away = state.turned_away_until.is_some_and(|until| now < until || own > 0);
         Candidate {
             id_hash: self.hash,
             is_local,
             round_trip_ms,
             slots: self.registered.slots,
-            load: own + remote_in_flight.max(reported),
-            slowness: 1.0 + (state.slowness - 1.0) * remaining,
+            load: own.saturating_add(remote_in_flight.max(reported)),
+            slowness: (1.0 + (state.slowness - 1.0) * remaining).max(self.remote_slowness()),
             failure_ratio: state.failure_ratio * remaining,
             refusal_ratio: state.refusal_ratio * remaining,
             is_warm: false,
-            is_available: is_open && now >= state.unavailable_until,
+            is_available: is_open && now >= state.unavailable_until && !is_turned_away,
         }
     }
 
@@ -169,6 +234,26 @@
         self.remote_in_flight.store(count, Ordering::Relaxed);
     }
 
+    /// Returns the measured service time relative to the usual one if it is slow enough to tell others.
+    #[must_use]
+    pub fn reported_slowness(&self, now: Time) -> Option<f64> {
+        let state = self.state.lock();
+        let age = now.since(state.sampled_at);
+        let remaining = 0.5_f64.powf(age.as_secs_f64() / SAMPLE_HALF_LIFE.as_secs_f64());
+        let slowness = 1.0 + (state.slowness - 1.0) * remaining;
+        (slowness >= MIN_REPORTED_SLOWNESS).then_some(slowness)
+    }
+
+    /// Sets how slow other instances measured the backend server, `None` if none found it slow.
+    pub fn set_remote_slowness(&self, slowness: Option<f32>) {
+        let slowness = slowness.filter(|s| s.is_finite()).unwrap_or(USUAL_SLOWNESS);
+        self.remote_slowness.store(slowness.max(USUAL_SLOWNESS).to_bits(), Ordering::Relaxed);
+    }
+
+    fn remote_slowness(&self) -> f64 {
+        f64::from(f32::from_bits(self.remote_slowness.load(Ordering::Relaxed)))
+    }
+
     /// Records the backend server's own report of how many requests run and wait there.
     pub fn record_load_report(&self, total: u32, now: Time) {
         let others = total.saturating_sub(self.own_in_flight());
@@ -184,6 +269,14 @@
         state.refusal_ratio -= state.refusal_ratio * SAMPLE_SMOOTHING;
         state.sampled_at = now;
         state.failures = 0;
+        state.turned_away_until = state.turned_away_until.filter(|until| now < *until);
+    }
+
+    /// Records that an answer is missing after `factor` times the expected time.
+    pub fn record_overdue(&self, factor: f64, now: Time) {
+        let mut state = self.state.lock();
+        state.slowness += (factor - state.slowness).max(0.0) * SAMPLE_SMOOTHING;
+        state.sampled_at = now;
     }
 
     /// Records a refusal by a full or failing backend server.
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -41,12 +41,12 @@
     incoming: Option<Incoming>,
     arrived_at: Time,
 ) -> Response<ResponseBody> {
-    let _guard = node.begin_request();
+    let guard = node.begin_request();
     node.counters.add(Counter::Requests);
     let config = node.config.load_full();
     let result = answer(&node, &config, &parts, incoming, arrived_at).await;
     let took = node.clock.now().since(arrived_at);
-    match result {
+    let mut resp = match result {
         Ok(resp) => {
             node.latency.answered.record(took);
             resp
@@ -55,7 +55,10 @@
             node.latency.refused.record(took);
             refusal_response(&node, &e, &parts.headers)
         }
-    }
+    };
+    // A stop waits until the caller has the answer.
+    resp.body_mut().hold_request(guard);
+    resp
 }
 
 async fn answer(
@@ -82,11 +85,12 @@
     arrived_at: Time,
 ) -> Result<Outbound<'a>, RequestFailure> {
     if !config.is_published() {
-        return Err(failure(
-            ErrorKind::NoBackend,
-            "no configuration is known yet",
-            Some(STARTING_RETRY_AFTER),
-        ));
+        let rejected = node.rejected_config.load();
+        let detail = rejected.as_ref().map_or_else(
+            || "no configuration is known yet".to_owned(),
+            |r| format!("no valid configuration is known: that of revision {} was rejected", r.revision),
+        );
+        return Err(failure(ErrorKind::NoBackend, &detail, Some(STARTING_RETRY_AFTER)));
     }
     if node.phase() >= Phase::Finishing {
         return Err(failure(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -110,6 +110,7 @@
         state.reporters.insert(sender.clone(), received);
         let remote_in_flight =
             if places_requests { to_amounts(&state.in_flight(Some(&sender), now)) } else { Vec::new() };
+        let slowness = if places_requests { state.slowness(Some(&sender), now) } else { Vec::new() };
         TrafficReport {
             sender: own.clone(),
             instance_count: 0,
@@ -118,6 +119,8 @@
             is_from_hub: false,
             store: StoreDelta::default(),
             strikes: Vec::new(),
+            leaving: Vec::new(),
+            slowness,
         }
     }
 
@@ -223,8 +226,18 @@
             is_from_hub: true,
             store: StoreDelta::default(),
             strikes: Vec::new(),
+            leaving: Vec::new(),
+            slowness: self.slowness(None, now),
         }
     }
+
+    // Returns how slow backend servers are, by what instances of this region measured.
+    fn slowness(&self, excluded: Option<&InstanceId>, now: Time) -> Vec<HashedAmount> {
+        let is_fresh = |r: &&ReceivedReport| now.since(r.received_at) < REPORT_TTL;
+        let reporters = self.reporters.iter().filter(|(id, _)| Some(*id) != excluded).map(|(_, r)| r);
+        let of_hubs = self.hubs.values().filter(|_| excluded.is_some());
+        merge_slowness(reporters.chain(of_hubs).filter(is_fresh).map(|r| r.report.slowness.as_slice()))
+    }
 }
 
 fn total_demand<'a>(reports: impl Iterator<Item = &'a ReceivedReport>, hash: u64) -> f64 {
@@ -238,6 +251,19 @@
     }
 }
 
+// Takes the mean of the reports on each backend server and of one that found it as fast as usual, so that a
+// single report counts for half.
+fn merge_slowness<'a>(reports: impl Iterator<Item = &'a [HashedAmount]>) -> Vec<HashedAmount> {
+    const USUAL: f32 = 1.0;
+    let mut sums: HashMap<u64, (f32, f32)> = HashMap::new();
+    for measured in reports.flatten().filter(|m| m.amount.is_finite()) {
+        let (sum, count) = sums.entry(measured.hash).or_insert((USUAL, 1.0));
+        *sum += measured.amount;
+        *count += 1.0;
+    }
+    sums.into_iter().map(|(hash, (sum, count))| HashedAmount { hash, amount: sum / count }).collect()
+}
+
 fn to_amounts(sum: &HashMap<u64, f32>) -> Vec<HashedAmount> {
     sum.iter()
         .filter(|(_, amount)| **amount > 0.0)
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -39,6 +39,8 @@
     let store_age = node.mirror.confirmed_at().map_or(-1.0, |at| now.since(at).as_secs_f64());
     let gauges = [
         ("config_version", node.config.load().published.version as f64),
+        ("config_rejected_revision", node.rejected_config.load().as_ref().map_or(0, |r| r.revision) as f64),
+        ("answer_memory_free_bytes", node.answer_memory.free_bytes() as f64),
         ("requests_in_flight", node.in_flight() as f64),
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -11,6 +11,7 @@
 pub mod handle;
 pub mod head_scan;
 pub mod hub;
+pub mod invalid_entries;
 pub mod metrics;
 pub mod mirror;
 pub mod outbound;
@@ -28,7 +29,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use burdock_decide::retry::RetryBudget;
 use burdock_decide::split::WeightedRoundRobin;
 use burdock_decide::time::Time;
@@ -48,8 +49,10 @@
 use crate::phase::{Phase, PhaseCell};
 use crate::shards::Sharded;
 use crate::site::allowances::Allowances;
+use crate::site::body::AnswerMemory;
 use crate::site::fleet::SiteFleet;
 use crate::site::hub::Hub;
+use crate::site::invalid_entries::InvalidEntries;
 use crate::site::mirror::StoreMirror;
 use crate::site::table::BackendTable;
 
@@ -72,6 +75,10 @@
     pub mirror: StoreMirror,
     /// Configuration in force.
     pub config: ArcSwap<SiteConfigIndex>,
+    /// Configuration that the store holds and that was rejected, if it is the newest one.
+    pub rejected_config: ArcSwapOption<RejectedConfig>,
+    /// Invalid entries that were found in the store.
+    pub invalid_entries: InvalidEntries,
     /// Registered backend servers.
     pub backends: BackendTable,
     /// Instances of the deployment.
@@ -84,6 +91,8 @@
     pub allowances: Allowances,
     /// Quarantine of requests that crashed backend servers.
     pub quarantine: Quarantine,
+    /// Memory for answers that wait for their callers.
+    pub answer_memory: AnswerMemory,
     /// Counters for metrics.
     pub counters: Counters,
     /// Durations of callers' requests.
@@ -97,6 +106,15 @@
     last_request_at: AtomicU64,
 }
 
+/// Configuration that was rejected.
+#[derive(Debug)]
+pub struct RejectedConfig {
+    /// Store revision at which it was written.
+    pub revision: u64,
+    /// What is invalid in it.
+    pub reason: Error,
+}
+
 /// Durations of callers' requests, by whether a backend server answered.
 #[derive(Debug, Default)]
 pub struct Latencies {
@@ -141,10 +159,13 @@
             clock,
             dialect: Dialect::platform(),
             config: ArcSwap::default(),
+            rejected_config: ArcSwapOption::default(),
+            invalid_entries: InvalidEntries::default(),
             peers,
             hub: Hub::default(),
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
+            answer_memory: AnswerMemory::default(),
             counters: Counters::default(),
             latency: Latencies::default(),
             retry_budgets: Sharded::default(),
--- a/crates/burdock-node/src/site/read_ahead.rs
+++ b/crates/burdock-node/src/site/read_ahead.rs
@@ -5,16 +5,21 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 /// Maximum number of bytes that are read ahead of the HTTP server. A caller that sends more without waiting
 /// for answers is not read further, and its end is noticed later.
 const MAX_AHEAD_BYTES: usize = 32 << 10;
 
+/// Time after which a connection is closed whose caller takes none of an answer's bytes.
+pub const MAX_WRITE_STALL: Duration = Duration::from_secs(10);
+
 /// Maximum number of bytes that one read takes from the socket.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
@@ -29,6 +34,8 @@
 
 struct Shared {
     stream: TcpStream,
+    // Runs while the caller takes no bytes.
+    write_stall: Option<Pin<Box<Sleep>>>,
     // Bytes that were read and that the HTTP server has not taken yet.
     ahead: BytesMut,
     ended: bool,
@@ -48,7 +55,7 @@
     /// Wraps a connection. `on_bytes` receives all bytes that are read from it.
     #[must_use]
     pub fn new(stream: TcpStream, on_bytes: OnBytes) -> Self {
-        let shared = Shared { stream, ahead: BytesMut::new(), ended: false, on_bytes };
+        let shared = Shared { stream, write_stall: None, ahead: BytesMut::new(), ended: false, on_bytes };
         Self { shared: Arc::new(Mutex::new(shared)) }
     }
 
@@ -82,6 +89,21 @@
         }
     }
 
+    // Fails once the caller has taken no bytes for too long. An answer that waits holds memory.
+    fn check_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_stall = None;
+            return written;
+        }
+        let stall = self.write_stall.get_or_insert_with(|| Box::pin(tokio::time::sleep(MAX_WRITE_STALL)));
+        std::task::ready!(stall.as_mut().poll(cx));
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the caller takes no bytes")))
+    }
+
     fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
@@ -94,7 +116,7 @@
 
 impl std::fmt::Debug for Shared {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { stream, ahead, ended, on_bytes: _ } = self;
+        let Self { stream, write_stall: _, ahead, ended, on_bytes: _ } = self;
         f.debug_struct("Shared")
             .field("stream", stream)
             .field("ahead", &ahead.len())
@@ -125,7 +147,9 @@
 
 impl AsyncWrite for ReadAhead {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.shared.lock().stream).poll_write(cx, buf)
+        let mut shared = self.shared.lock();
+        let written = Pin::new(&mut shared.stream).poll_write(cx, buf);
+        shared.check_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -133,7 +157,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.shared.lock().stream).poll_write_vectored(cx, bufs)
+        let mut shared = self.shared.lock();
+        let written = Pin::new(&mut shared.stream).poll_write_vectored(cx, bufs);
+        shared.check_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -30,9 +30,11 @@
         report_traffic: handler(node, |node, report: TrafficReport| {
             let (now, revision) = (node.clock.now(), report.store.revision);
             node.quarantine.merge_strikes(&report.strikes, now);
+            node.backends.merge_leaving(&report.leaving, now);
             let mut answer = node.hub.record_report(&node.incarnation.instance, report, now);
             answer.store = node.mirror.changes_since(revision, now);
             answer.strikes = node.quarantine.recent_strikes(now);
+            answer.leaving = node.backends.recently_leaving(now);
             Ok(answer)
         }),
         request_tokens: handler(node, |node, request: TokenRequest| Ok(grant_tokens(node, &request))),
@@ -72,11 +74,13 @@
         is_from_hub: false,
         store: StoreDelta { revision: node.mirror.revision().unwrap_or(0), ..StoreDelta::default() },
         strikes: node.quarantine.recent_strikes(now),
+        leaving: node.backends.recently_leaving(now),
+        slowness: node.backends.slowness(now),
     };
     let from = report.store.revision;
     let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
         let answer = node.hub.record_report(&node.incarnation.instance, report, now);
-        node.backends.set_remote_in_flight(&answer.in_flight);
+        node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
         exchange_with_hubs(node).await;
         let is_first = node.fleet.view().first_region() == Some(&node.settings.region);
         if is_first && FleetSize::of(node).is_settled && node.mirror.is_fresh(now) {
@@ -86,14 +90,15 @@
     };
     match node.peers.report_traffic(&hub, report, REPORT_TIMEOUT).await {
         Ok(answer) => {
-            node.backends.set_remote_in_flight(&answer.in_flight);
+            node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
             node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
+            node.backends.merge_leaving(&answer.leaving, node.clock.now());
             sync::apply_relayed(node, answer.store, now, from);
         }
         Err(e) => {
             log::info!(hub = hub.id.as_str(); "the hub does not answer: {e:?}");
             node.hub.mark_unreachable(&hub.id, node.clock.now());
-            node.backends.set_remote_in_flight(&[]);
+            node.backends.set_remote_load(&[], &[]);
         }
     }
 }
@@ -113,9 +118,11 @@
             let from = node.mirror.revision().unwrap_or(0);
             summary.store.revision = from;
             summary.strikes = node.quarantine.recent_strikes(now);
+            summary.leaving = node.backends.recently_leaving(now);
             match node.peers.report_traffic(&hub, summary, REPORT_TIMEOUT).await {
                 Ok(mut answer) => {
                     node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
+                    node.backends.merge_leaving(&answer.leaving, node.clock.now());
                     sync::apply_relayed(node, std::mem::take(&mut answer.store), now, from);
                     node.hub.record_hub_answer(answer, node.clock.now());
                 }
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -166,7 +166,16 @@
     let kind = if count == 0 { ErrorKind::NoBackend } else { ErrorKind::Overloaded };
     let detail =
         format!("{count} backend servers of `{service}`, none with room at urgency {}", outbound.urgency);
-    RequestFailure { error: Error::new(kind, detail), retry_after: Some(random_retry_after()) }
+    let backends = usable.services.get(service).map_or(&[] as &[_], Vec::as_slice);
+    let turned_away = time_until_accepted(backends, node.clock.now()).unwrap_or_default();
+    RequestFailure { error: Error::new(kind, detail), retry_after: Some(turned_away + random_retry_after()) }
+}
+
+// Returns the time until the first backend server accepts requests again if all have turned this instance
+// away.
+fn time_until_accepted(backends: &[Arc<Backend>], now: Time) -> Option<Duration> {
+    let waits = backends.iter().map(|b| b.turned_away_until().map(|until| until.since(now)));
+    waits.collect::<Option<Vec<Duration>>>()?.into_iter().min()
 }
 
 /// Load per slot by which a request of a caller that was refused earlier may exceed the usual limit, so that
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -3,9 +3,11 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -22,7 +24,7 @@
 use crate::site::body::ResponseBody;
 use crate::site::head_scan::HeadScanner;
 use crate::site::pipeline::Pipeline;
-use crate::site::read_ahead::{Filled, OnBytes, ReadAhead};
+use crate::site::read_ahead::{Filled, MAX_WRITE_STALL, OnBytes, ReadAhead};
 use crate::site::{directory, handle, metrics};
 
 /// File descriptors that are reserved for uses other than callers' connections.
@@ -31,6 +33,12 @@
 /// Connection limit of the directory, readiness and metrics listeners, and minimum of that for callers.
 const MIN_CONNECTION_LIMIT: usize = 256;
 
+/// Time for which a new connection stays open in a stop although no request has come.
+pub const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+
+/// Interval at which a stop checks whether a new connection has brought its first request.
+const FIRST_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Delay after an accept that failed, as it does when the process is out of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -88,7 +96,11 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
+            // Those that the system has accepted already are served, too.
+            _ = stop.wait_for(|stop| *stop) => match listener.accept().now_or_never() {
+                Some(accepted) => accepted,
+                None => return,
+            },
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -120,11 +132,18 @@
     F: Fn(Request<Incoming>) -> Fut,
     Fut: Future<Output = Result<Response<ResponseBody>, Infallible>>,
 {
-    if let Err(e) = enable_dead_peer_detection(&stream) {
+    if let Err(e) = enable_dead_peer_detection(&stream, MAX_WRITE_STALL) {
         log::warn!("a caller's connection could not be set up: {e}");
         return;
     }
     let limits = node.config.load().published.caller_limits;
+    let has_request = Arc::new(AtomicBool::new(false));
+    let noted_request = Arc::clone(&has_request);
+    let answer = move |req| {
+        noted_request.store(true, Ordering::Relaxed);
+        // Boxed, so that an idle connection does not hold the memory of a request's future.
+        Box::pin(handler(req))
+    };
     let io = ReadAhead::new(stream, scan_heads(node.clock, pipeline.map(Arc::clone)));
     let mut connection = pin!(
         http1::Builder::new()
@@ -132,12 +151,16 @@
             // hyper measures this from the end of the last answer, so it bounds idle time and head together.
             .header_read_timeout(limits.idle_timeout + limits.header_timeout)
             .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES) * 2)
-            // Boxed, so that an idle connection does not hold the memory of a request's future.
-            .serve_connection(TokioIo::new(io.clone()), service_fn(|req| Box::pin(handler(req))))
+            .serve_connection(TokioIo::new(io.clone()), service_fn(answer))
     );
-    let mut stop_signal = pin!(async move {
+    let first_request_by = tokio::time::Instant::now() + FIRST_REQUEST_WAIT;
+    let mut stop_signal = pin!(async {
         // A dropped sender means stop, too.
-        let _stop = stop.wait_for(|stop| *stop).await;
+        drop(stop.wait_for(|stop| *stop).await);
+        // A connection that was just accepted may have a request on its way.
+        while !has_request.load(Ordering::Relaxed) && tokio::time::Instant::now() < first_request_by {
+            tokio::time::sleep(FIRST_REQUEST_POLL_INTERVAL).await;
+        }
     });
     let (mut is_stopping, mut is_closing) = (false, false);
     std::future::poll_fn(|cx| {
@@ -146,14 +169,18 @@
             pipeline.into_iter().for_each(|p| p.stop_starting());
         }
         loop {
+            // An error of the connection concerns only its caller. A request that has arrived is read before
+            // the connection may close as idle.
+            if connection.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
             // Requests that were started ahead of their turn are answered before the connection closes.
             if is_stopping && !is_closing && pipeline.is_none_or(|p| p.is_drained()) {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
-            }
-            // An error of the connection concerns only its caller.
-            if connection.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(());
+                if connection.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(());
+                }
             }
             pipeline.into_iter().for_each(|p| p.start_waiting());
             match std::task::ready!(io.poll_fill(cx)) {
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -14,10 +14,12 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 
+use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::shutdown::StopSignals;
-use crate::site::serve::{serve_callers, serve_directory, serve_metrics};
+use crate::site::serve::{FIRST_REQUEST_WAIT, serve_callers, serve_directory, serve_metrics};
 use crate::site::{SiteNode, fleet, report, sync};
 use crate::start::new_incarnation;
 
@@ -76,11 +78,11 @@
         tokio::spawn(serve_callers(Arc::clone(&node), caller_listener, stop_rx.clone())),
         tokio::spawn(serve_directory(Arc::clone(&node), readiness_listener, stop_rx.clone())),
         tokio::spawn(serve_directory(Arc::clone(&node), directory_listener, stop_rx.clone())),
-        tokio::spawn(fleet::register_loop(Arc::clone(&node))),
-        tokio::spawn(sync::follow_loop(Arc::clone(&node))),
-        tokio::spawn(sync::sweep_loop(Arc::clone(&node))),
+        tokio::spawn(supervise(Arc::clone(&node), fleet::register_loop)),
+        tokio::spawn(supervise(Arc::clone(&node), sync::follow_loop)),
+        tokio::spawn(supervise(Arc::clone(&node), sync::sweep_loop)),
         tokio::spawn(burdock_wire::server::serve(peer_listener, node.peers.clone(), report::handlers(&node))),
-        tokio::spawn(report::report_loop(Arc::clone(&node))),
+        tokio::spawn(supervise(Arc::clone(&node), report::report_loop)),
     ];
     if let Some(listener) = metrics_listener {
         tasks.push(tokio::spawn(serve_metrics(Arc::clone(&node), listener, stop_rx)));
@@ -127,7 +129,9 @@
                 node.advance(Phase::Finishing);
                 self.stop.send_replace(true);
             }
-            let is_done = refuses_requests && node.in_flight() == 0 && node.idle_time() >= STOP_IDLE_TIME;
+            let refused_for = elapsed.saturating_sub(timeout.mul_f64(REFUSE_AFTER_FRACTION));
+            let is_idle = node.in_flight() == 0 && node.idle_time() >= STOP_IDLE_TIME;
+            let is_done = is_idle && refused_for >= FIRST_REQUEST_WAIT + STOP_IDLE_TIME;
             if is_done || elapsed >= timeout.mul_f64(ABORT_AFTER_FRACTION) {
                 break;
             }
@@ -149,6 +153,27 @@
     }
 }
 
+/// Delay before a task that ended by an unexpected error is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
+/// Runs a task until it ends. One that ends by a panic is started again, since the instance depends on it.
+pub async fn supervise<F>(node: Arc<SiteNode>, run: impl Fn(Arc<SiteNode>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        // Aborted with this future, unlike a task that is only spawned.
+        match AbortOnDropHandle::new(tokio::spawn(run(Arc::clone(&node)))).await {
+            Ok(()) => return,
+            Err(e) => {
+                node.counters.add(Counter::TasksRestarted);
+                log::error!("a task ended by an unexpected error and is started again: {e}");
+                tokio::time::sleep(RESTART_DELAY).await;
+            }
+        }
+    }
+}
+
 async fn bind(address: SocketAddr, listener: &str) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|e| Error::new(ErrorKind::InvalidSettings, format!("{listener}: {address}: {e}")))
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -6,17 +6,18 @@
 
 use burdock_decide::backoff::backoff_delay;
 use burdock_decide::time::Time;
+use burdock_model::error::Error;
 use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_model::site::{SiteChange, SiteConfigIndex};
-use burdock_platform::decode::decode_change;
+use burdock_platform::decode::{decode_change, is_backend_entry, is_config};
 use burdock_platform::kv::{Record, WatchOutcome};
 use burdock_platform::store::StoreResult;
 use burdock_wire::messages::StoreDelta;
 
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
-use crate::site::SiteNode;
 use crate::site::mirror::unpack_records;
+use crate::site::{RejectedConfig, SiteNode};
 
 /// Maximum wait of a watch call. A hub's relays are at most this old, plus a round trip to the store.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(700);
@@ -152,18 +153,15 @@
 }
 
 fn apply_records(node: &SiteNode, records: &[Record]) {
-    let missing = records.iter().filter(|r| r.value.is_none() && is_backend(r)).count();
+    let missing = records.iter().filter(|r| r.value.is_none() && is_backend_entry(r)).count();
     node.backends.record_missing(missing, node.clock.now());
     for record in records {
         apply_record(node, record, None);
     }
+    node.backends.publish();
     advance_if_published(node);
 }
 
-fn is_backend(record: &Record) -> bool {
-    matches!(decode_change(record), Ok(Some(SiteChange::Backend(..))))
-}
-
 fn advance_if_published(node: &SiteNode) {
     if node.config.load().is_published() {
         node.advance(Phase::Ready);
@@ -178,14 +176,23 @@
 }
 
 fn apply_record(node: &SiteNode, record: &Record, listed: Option<&mut ListedEntries>) {
-    let change = match decode_change(record) {
+    let on_invalid = |e: Error| {
+        node.counters.add(Counter::EntriesInvalid);
+        if node.invalid_entries.is_new(record) {
+            log::warn!(key = record.key.as_str(), revision = record.revision; "invalid entry in the store is ignored: {e}");
+        }
+    };
+    let change = match decode_change(record, on_invalid) {
         Ok(Some(change)) => change,
         Ok(None) => return,
-        Err(e) => {
+        Err(e) if is_config(record) => {
             node.counters.add(Counter::InstallsFailed);
-            log::warn!(key = record.key.as_str(), revision = record.revision; "invalid record skipped: {e}");
+            log::warn!(revision = record.revision; "configuration rejected, the one in force stays: {e}");
+            node.rejected_config
+                .store(Some(Arc::new(RejectedConfig { revision: record.revision, reason: e })));
             return;
         }
+        Err(e) => return on_invalid(e),
     };
     let now = node.clock.now();
     let config = node.config.load();
@@ -199,9 +206,10 @@
             log::info!(version = new.version, before = current, revision = record.revision; "configuration in force");
             node.counters.add(Counter::Installs);
             node.config.store(Arc::new(SiteConfigIndex::new(new)));
+            node.rejected_config.store(None);
         }
         SiteChange::Backend(id, entry) => {
-            node.backends.apply_entry(&config, &id, entry.as_ref(), now);
+            node.backends.apply_entry(&config, &id, entry.as_ref(), record.revision, now);
             if let (Some(listed), Some(_)) = (listed, entry) {
                 listed.backends.insert(id);
             }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -9,7 +9,7 @@
 use burdock_model::prelude::*;
 use burdock_model::site::{RegisteredBackend, SiteConfigIndex};
 use burdock_model::site_settings::SiteSettings;
-use burdock_wire::messages::HashedAmount;
+use burdock_wire::messages::{HashedAmount, LeavingRun};
 use parking_lot::Mutex;
 
 use crate::site::backend::Backend;
@@ -18,6 +18,13 @@
 /// backend servers register again within about two seconds of the outage's end.
 const LAPSED_ENTRY_RETENTION: Duration = Duration::from_millis(2000);
 
+/// Time for which other instances are told that a backend server is leaving: a few reports, of which some may
+/// be lost.
+const LEAVING_RELAY_TIME: Duration = Duration::from_millis(3000);
+
+/// Time for which a backend server that is leaving is remembered, far above the time that one takes to leave.
+const LEAVING_TTL: Duration = Duration::from_mins(10);
+
 /// Assumed round trip to another region until one is measured, in milliseconds.
 const INITIAL_REMOTE_ROUND_TRIP_MS: f64 = 40.0;
 
@@ -42,13 +49,21 @@
     store_outage_at: Option<Time>,
     // When most entries last went missing at once after an outage of the store.
     lapsed_at: Option<Time>,
+    // The processes of backend servers that said that they are leaving, by run hash, with the time at which the
+    // first instance learned it. It outlives their entries, which may be written again late.
+    leaving: HashMap<u64, Time>,
     is_loaded: bool,
+    // The list of usable backend servers is out of date.
+    is_changed: bool,
 }
 
 #[derive(Debug)]
 struct Entry {
     backend: Arc<Backend>,
     draining: bool,
+    // Store revision and number of the newest report that was applied.
+    revision: u64,
+    sequence: u64,
     // The entry is missing, and the backend server stays in use until then.
     missing_until: Option<Time>,
 }
@@ -94,20 +109,76 @@
         self.regions.get(ix)
     }
 
-    /// Applies a backend server's entry, or its removal.
+    /// Applies a backend server's entry, or its removal, which the store wrote at `revision`. It takes effect
+    /// with [`Self::publish`], so that a batch of entries is published once.
     pub fn apply_entry(
         &self,
         config: &SiteConfigIndex,
         id: &BackendId,
         entry: Option<&RegisteredBackend>,
+        revision: u64,
         now: Time,
     ) {
         let mut state = self.state.lock();
+        // Pages of a full read may hold newer entries than the changes that are read after it.
+        if state.entries.get(id).is_some_and(|known| revision < known.revision) {
+            return;
+        }
+        state.is_changed = true;
         match entry {
-            Some(registered) => self.register(&mut state, config, registered, now),
+            Some(registered) => self.register(&mut state, config, registered, revision, now),
             None => remove(&mut state, id, now),
         }
-        self.publish(&state);
+    }
+
+    /// Publishes the list of usable backend servers if entries have changed.
+    pub fn publish(&self) {
+        self.publish_changes(&mut self.state.lock());
+    }
+
+    /// Records that a backend server said that it is leaving. It gets no further requests, whatever its entry
+    /// says, until another process registers under its id.
+    pub fn record_leaving(&self, backend: &Backend, now: Time) {
+        if backend.mark_leaving() {
+            return;
+        }
+        log::info!(backend = backend.registered.id.as_str(); "backend server says that it is leaving");
+        let mut state = self.state.lock();
+        state.leaving.insert(backend.run_hash(), now);
+        state.is_changed = true;
+        self.publish_changes(&mut state);
+    }
+
+    /// Returns the backend servers of which any instance learned recently that they are leaving.
+    #[must_use]
+    pub fn recently_leaving(&self, now: Time) -> Vec<LeavingRun> {
+        let state = self.state.lock();
+        let ages = state.leaving.iter().map(|(run_hash, at)| (*run_hash, now.since(*at)));
+        let recent = ages.filter(|(_, age)| *age < LEAVING_RELAY_TIME);
+        let age_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        recent.map(|(run_hash, age)| LeavingRun { run_hash, age_ms: age_ms(age) }).collect()
+    }
+
+    /// Merges what another instance learned of backend servers that are leaving.
+    pub fn merge_leaving(&self, runs: &[LeavingRun], now: Time) {
+        if runs.is_empty() {
+            return;
+        }
+        let mut state = self.state.lock();
+        for run in runs {
+            let at = now - Duration::from_millis(u64::from(run.age_ms));
+            if state.leaving.contains_key(&run.run_hash) || now.since(at) >= LEAVING_TTL {
+                continue;
+            }
+            state.leaving.insert(run.run_hash, at);
+            state.is_changed = true;
+            let found = state.entries.values().map(|e| &e.backend).find(|b| b.run_hash() == run.run_hash);
+            if let Some(backend) = found {
+                backend.mark_leaving();
+                log::info!(backend = backend.registered.id.as_str(); "backend server is leaving, as another instance learned");
+            }
+        }
+        self.publish_changes(&mut state);
     }
 
     /// Sets whether a zone is evacuated. When the evacuation ends, the zone's backend servers count as cold.
@@ -122,7 +193,8 @@
         for entry in state.entries.values().filter(|e| !evacuated && e.backend.registered.zone == *zone) {
             entry.backend.mark_cold(cold_time(config, &entry.backend.registered), now);
         }
-        self.publish(&state);
+        state.is_changed = true;
+        self.publish_changes(&mut state);
     }
 
     /// Removes entries and evacuations that a full read of the store did not list.
@@ -142,7 +214,8 @@
         }
         state.is_loaded = true;
         let ended: Vec<ZoneName> = state.evacuated.difference(evacuated).cloned().collect();
-        self.publish(&state);
+        state.is_changed = true;
+        self.publish_changes(&mut state);
         drop(state);
         for zone in &ended {
             self.set_evacuated(config, zone, false, now);
@@ -171,9 +244,9 @@
             }
             !gone
         });
-        if state.entries.len() != before {
-            self.publish(&state);
-        }
+        state.is_changed |= state.entries.len() != before;
+        state.leaving.retain(|_, at| now.since(*at) < LEAVING_TTL);
+        self.publish_changes(&mut state);
         for entry in state.entries.values() {
             entry.backend.pool.close_stale();
         }
@@ -206,9 +279,24 @@
         busy.map(|b| HashedAmount { hash: b.hash(), amount: b.own_in_flight() as f32 }).collect()
     }
 
-    /// Sets how many requests of other instances are in flight at each backend server.
-    pub fn set_remote_in_flight(&self, in_flight: &[HashedAmount]) {
-        let counts: HashMap<u64, f32> = in_flight.iter().map(|t| (t.hash, t.amount)).collect();
+    /// Returns the backend servers that this instance measured to be slow, with their service time relative to
+    /// the usual one.
+    #[must_use]
+    pub fn slowness(&self, now: Time) -> Vec<HashedAmount> {
+        let state = self.state.lock();
+        let backends = state.entries.values().map(|e| &e.backend);
+        let measured = backends.filter_map(|b| Some((b.hash(), b.reported_slowness(now)?)));
+        #[expect(clippy::cast_possible_truncation, reason = "a ratio needs no more digits")]
+        measured.map(|(hash, slowness)| HashedAmount { hash, amount: slowness as f32 }).collect()
+    }
+
+    /// Sets how many requests of other instances are in flight at each backend server, and how slow others
+    /// measured those that are.
+    pub fn set_remote_load(&self, in_flight: &[HashedAmount], slowness: &[HashedAmount]) {
+        let by_hash = |amounts: &[HashedAmount]| -> HashMap<u64, f32> {
+            amounts.iter().map(|t| (t.hash, t.amount)).collect()
+        };
+        let (counts, slowness) = (by_hash(in_flight), by_hash(slowness));
         for entry in self.state.lock().entries.values() {
             let count = counts.get(&entry.backend.hash()).copied().unwrap_or(0.0);
             #[expect(
@@ -217,6 +305,7 @@
                 reason = "a float cast saturates"
             )]
             entry.backend.set_remote_in_flight(count.round() as u32);
+            entry.backend.set_remote_slowness(slowness.get(&entry.backend.hash()).copied());
         }
     }
 
@@ -225,6 +314,7 @@
         state: &mut State,
         config: &SiteConfigIndex,
         registered: &RegisteredBackend,
+        revision: u64,
         now: Time,
     ) {
         let Some(region) = self.zones.get(&registered.zone) else {
@@ -235,7 +325,19 @@
         let region = self.regions.iter().position(|r| r == region).unwrap_or(0);
         let known = state.entries.get_mut(&registered.id);
         let came_back = known.is_some();
+        let is_outdated = |e: &Entry| e.backend.is_later_process(registered);
+        if known.as_deref().is_some_and(is_outdated) {
+            log::info!(backend = registered.id.as_str(); "entry of an earlier process skipped");
+            return;
+        }
         if let Some(entry) = known.filter(|e| e.backend.is_same_process(registered)) {
+            // A report that was held up says nothing of the present state.
+            if registered.started_ms > 0 && registered.sequence < entry.sequence {
+                log::info!(backend = registered.id.as_str(); "earlier report of a backend server skipped");
+                return;
+            }
+            entry.revision = revision;
+            entry.sequence = registered.sequence;
             if registered.draining != entry.draining {
                 log::info!(backend = registered.id.as_str(), draining = registered.draining; "backend server");
             }
@@ -253,15 +355,28 @@
             log::info!(backend = registered.id.as_str(), service = registered.service.as_str(),
                 zone = registered.zone.as_str(), again = came_back; "backend server registered");
         }
-        let entry = Entry { backend, draining: registered.draining, missing_until: None };
+        if state.leaving.contains_key(&backend.run_hash()) {
+            backend.mark_leaving();
+        }
+        let entry = Entry {
+            backend,
+            draining: registered.draining,
+            revision,
+            sequence: registered.sequence,
+            missing_until: None,
+        };
         state.entries.insert(registered.id.clone(), entry);
     }
 
-    fn publish(&self, state: &State) {
+    fn publish_changes(&self, state: &mut State) {
+        if !std::mem::take(&mut state.is_changed) {
+            return;
+        }
         let mut services: HashMap<ServiceName, Vec<Arc<Backend>>> = HashMap::new();
         for entry in state.entries.values() {
             let registered = &entry.backend.registered;
-            if entry.draining || state.evacuated.contains(&registered.zone) {
+            let is_leaving = entry.draining || entry.backend.is_leaving();
+            if is_leaving || state.evacuated.contains(&registered.zone) {
                 continue;
             }
             services.entry(registered.service.clone()).or_default().push(Arc::clone(&entry.backend));
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -39,6 +39,8 @@
         is_from_hub: false,
         store: StoreDelta::default(),
         strikes: Vec::new(),
+        leaving: Vec::new(),
+        slowness: Vec::new(),
     }
 }
 
--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -62,6 +62,16 @@
         self
     }
 
+    pub fn started_ms(mut self, started_ms: u64) -> Self {
+        self.0.started_ms = started_ms;
+        self
+    }
+
+    pub fn sequence(mut self, sequence: u64) -> Self {
+        self.0.sequence = sequence;
+        self
+    }
+
     pub fn cold_s(mut self, seconds: f64) -> Self {
         self.0.cold_s = seconds;
         self
@@ -163,11 +173,13 @@
             state: "ready",
             cold_s: 0.0,
             started_ms: 1,
+            sequence: 1,
         })
     }
 
-    pub fn register(&self, id: &str, service: &str, address: SocketAddr) {
-        let entry = SampleBackendEntry {
+    /// Returns the entry of a backend server that is not one of the site's own.
+    pub fn entry_of<'a>(&self, id: &'a str, service: &'a str, address: SocketAddr) -> Entry<'a> {
+        Entry(SampleBackendEntry {
             id,
             service,
             address,
@@ -176,8 +188,12 @@
             state: "ready",
             cold_s: 0.0,
             started_ms: 1,
-        };
-        entry.publish(&self.store);
+            sequence: 1,
+        })
+    }
+
+    pub fn register(&self, id: &str, service: &str, address: SocketAddr) {
+        self.entry_of(id, service, address).publish(&self.store);
     }
 
     pub fn standin(&self, id: &str) -> &BackendStandin {
--- a/crates/burdock-node/tests/site_support/raw.rs
+++ b/crates/burdock-node/tests/site_support/raw.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,23 +14,60 @@
 /// A backend server whose script builds the answer from a request's id.
 pub struct Backend {
     pub address: SocketAddr,
+    requests: Arc<AtomicUsize>,
 }
 
 impl Backend {
     pub async fn start(script: impl Fn(String) -> AnswerScript + Send + Sync + 'static) -> Self {
+        Self::start_with(script, false).await
+    }
+
+    /// Starts a backend server that closes each connection after one answer.
+    pub async fn start_closing(script: impl Fn(String) -> AnswerScript + Send + Sync + 'static) -> Self {
+        Self::start_with(script, true).await
+    }
+
+    async fn start_with(
+        script: impl Fn(String) -> AnswerScript + Send + Sync + 'static,
+        closes: bool,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&requests);
+        let script = Arc::new(move |id| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            script(id)
+        });
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&script), closes));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Starts a backend server that sends `head` and then `chunk` without end, until the connection closes.
+    pub async fn start_endless(head: &'static str, chunk: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let script = Arc::new(script);
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&requests);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&script)));
+                tokio::spawn(send_without_end(stream, head, chunk, Arc::clone(&counter)));
             }
         });
-        Self { address }
+        Self { address, requests }
+    }
+
+    /// Returns how many requests have arrived.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
     }
 }
 
-async fn serve(mut stream: TcpStream, script: Arc<impl Fn(String) -> AnswerScript>) {
+async fn serve(mut stream: TcpStream, script: Arc<impl Fn(String) -> AnswerScript>, closes: bool) {
     stream.set_nodelay(true).unwrap();
     let mut buf = Vec::new();
     loop {
@@ -50,7 +88,36 @@
                 return;
             }
         }
+        if closes {
+            return;
+        }
+    }
+}
+
+async fn send_without_end(mut stream: TcpStream, head: &str, chunk: &str, requests: Arc<AtomicUsize>) {
+    let mut buf = Vec::new();
+    while !buf.windows(4).any(|w| w == b"\r\n\r\n") {
+        if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+            return;
+        }
     }
+    requests.fetch_add(1, Ordering::Relaxed);
+    let text = String::from_utf8_lossy(&buf).to_lowercase();
+    let id = text.lines().find_map(|l| l.strip_prefix("x-burdockcroft-attempt-id: ")).unwrap_or("");
+    let head = head.replace("{id}", id);
+    let mut result = stream.write_all(head.as_bytes()).await;
+    while result.is_ok() {
+        result = stream.write_all(chunk.as_bytes()).await;
+    }
+}
+
+/// Builds an answer with a status and further header lines, each of which ends with a line break.
+pub fn build_answer_with(id: &str, status: &str, headers: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status}\r\nx-burdockcroft-attempt-id: {id}\r\nx-burdockcroft-response-seal: 1.2\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
 }
 
 /// Builds a complete answer.
--- a/crates/burdock-node/tests/soak/deployment.rs
+++ b/crates/burdock-node/tests/soak/deployment.rs
@@ -250,6 +250,7 @@
             state: *self.state.lock(),
             cold_s: 0.0,
             started_ms: self.incarnation.load(Ordering::Relaxed),
+            sequence: 1,
         };
         entry.publish(store);
     }
--- a/crates/burdock-standin/src/site.rs
+++ b/crates/burdock-standin/src/site.rs
@@ -41,6 +41,8 @@
     pub cold_s: f64,
     /// Start of the process as Unix time in milliseconds.
     pub started_ms: u64,
+    /// Number of the report among those of the process.
+    pub sequence: u64,
 }
 
 impl SampleConfig {
@@ -86,7 +88,7 @@
     pub fn publish(&self, store: &StoreStandin) {
         let entry = json!({"address": self.address, "born": self.started_ms,
             "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots},
-            "status": {"state": self.state, "sequence": 1, "warmup_left_s": self.cold_s}});
+            "status": {"state": self.state, "sequence": self.sequence, "warmup_left_s": self.cold_s}});
         store.publish(&format!("servers/{}", self.id), Some(entry.to_string().as_bytes()));
     }
 }
--- a/crates/burdock-standin/src/store.rs
+++ b/crates/burdock-standin/src/store.rs
@@ -31,6 +31,9 @@
 /// Largest number of items on one page.
 const PAGE_ITEMS: usize = 500;
 
+/// Size of the values on one page in bytes of base64 from which no item is added.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// Largest number of conditions, writes and deletions in one transaction.
 const MAX_TRANSACTION_ENTRIES: usize = 32;
 
@@ -173,6 +176,12 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Writes a key with a value as the store's answers show it, which need not be base64.
+    pub fn publish_raw(&self, key: &str, value: &str) {
+        self.inner.state.lock().put(key, value.to_owned(), 0);
+        self.inner.changed.notify_waiters();
+    }
+
     /// Returns the names of the present keys.
     #[must_use]
     pub fn keys(&self) -> Vec<String> {
@@ -202,6 +211,9 @@
         if let Some(garbage) = fault.garbage {
             state.garbage = garbage;
         }
+        drop(state);
+        // Ended leases delete keys, which watches report at once.
+        self.inner.changed.notify_waiters();
     }
 
     fn router(&self) -> Router {
@@ -367,15 +379,13 @@
 async fn read_range(State(store): State<StoreStandin>, Query(query): Query<RangeQuery>) -> Json<PageAnswer> {
     let state = store.inner.state.lock();
     let matching = |key: &str| key.starts_with(&query.path_prefix) && key > query.after.as_str();
-    let mut items: Vec<Item> = state
-        .keys
-        .iter()
-        .filter(|(key, _)| matching(key))
-        .map(|(key, e)| e.item(key))
-        .take(PAGE_ITEMS + 1)
-        .collect();
-    let has_more = items.len() > PAGE_ITEMS;
-    items.truncate(PAGE_ITEMS);
+    let mut rest = state.keys.iter().filter(|(key, _)| matching(key)).map(|(key, e)| e.item(key)).peekable();
+    let (mut items, mut bytes) = (Vec::new(), 0);
+    while let Some(item) = rest.next_if(|_| items.len() < PAGE_ITEMS && bytes < PAGE_BYTES) {
+        bytes += item.value.as_ref().map_or(0, String::len);
+        items.push(item);
+    }
+    let has_more = rest.peek().is_some();
     Json(PageAnswer { items, has_more, store_revision: state.revision })
 }
 
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -151,6 +151,14 @@
   packed @4 :Bool;
 }
 
+# One run of a backend server's process, which said that it is leaving.
+struct LeavingRun {
+  # Hash of its id and its start.
+  run @0 :UInt64;
+  # How long ago the first instance learned it.
+  ageMs @1 :UInt32;
+}
+
 # What an instance, or a hub for those that report to it, tells of its traffic; and a hub's answer.
 struct Traffic {
   sender @0 :Text;
@@ -172,6 +180,10 @@
   storeAgeMs @8 :UInt32 = 0xffffffff;
   # Crashes of backend servers that are held against requests.
   strikes @9 :List(Strike);
+  # Backend servers that said lately that they are leaving.
+  leaving @10 :List(LeavingRun);
+  # Service times at backend servers that are slow, relative to the usual ones; in an answer, by all others.
+  slowness @11 :List(Tally);
 }
 
 interface Peer {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -10,8 +10,8 @@
 use capnp::{Error as WireError, text};
 
 use crate::messages::{
-    BufferedResponse, Configuration, Exchange, HandoverRecord, HashedAmount, Hello, Loan, MAX_MESSAGE_BYTES,
-    PROTOCOL_VERSION, RelayedRequest, ShareBucket, StoreDelta, StoreRecord, TrafficReport,
+    BufferedResponse, Configuration, Exchange, HandoverRecord, HashedAmount, Hello, LeavingRun, Loan,
+    MAX_MESSAGE_BYTES, PROTOCOL_VERSION, RelayedRequest, ShareBucket, StoreDelta, StoreRecord, TrafficReport,
 };
 use crate::peer_capnp as wire;
 
@@ -234,6 +234,13 @@
     write_amounts(&report.demands, to.reborrow().init_demands(list_len(&report.demands)));
     write_amounts(&report.in_flight, to.reborrow().init_at_work(list_len(&report.in_flight)));
     write_strikes(&report.strikes, to.reborrow().init_strikes(list_len(&report.strikes)));
+    write_amounts(&report.slowness, to.reborrow().init_slowness(list_len(&report.slowness)));
+    let mut leaving = to.reborrow().init_leaving(list_len(&report.leaving));
+    for (ix, run) in (0..).zip(&report.leaving) {
+        let mut to = leaving.reborrow().get(ix);
+        to.set_run(run.run_hash);
+        to.set_age_ms(run.age_ms);
+    }
     to.set_revision(report.store.revision);
     to.set_complete(report.store.is_complete);
     to.set_store_age_ms(report.store.confirmed_age_ms.unwrap_or(UNKNOWN_AGE_MS));
@@ -265,9 +272,15 @@
             confirmed_age_ms: Some(from.get_store_age_ms()).filter(|age| *age != UNKNOWN_AGE_MS),
         },
         strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
+        leaving: from.get_leaving()?.iter().map(read_leaving_run).collect(),
+        slowness: from.get_slowness()?.iter().map(read_amount).collect(),
     })
 }
 
+fn read_leaving_run(from: wire::leaving_run::Reader<'_>) -> LeavingRun {
+    LeavingRun { run_hash: from.get_run(), age_ms: from.get_age_ms() }
+}
+
 fn read_store_record(from: wire::store_record::Reader<'_>) -> Result<StoreRecord> {
     Ok(StoreRecord {
         key: read_string(from.get_key()?)?,
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -85,6 +85,20 @@
     pub store: StoreDelta,
     /// Crashes of backend servers, each with the fingerprint of the request that ran there.
     pub strikes: Vec<Strike>,
+    /// Backend servers that said recently that they are leaving.
+    pub leaving: Vec<LeavingRun>,
+    /// Measured service time at each slow backend server relative to the usual one; in a hub's answer, as
+    /// measured by all other instances.
+    pub slowness: Vec<HashedAmount>,
+}
+
+/// One run of a backend server's process that said that it is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeavingRun {
+    /// Hash of the backend server's id and of its start.
+    pub run_hash: u64,
+    /// Milliseconds since the first instance learned it.
+    pub age_ms: u32,
 }
 
 /// State of the store at the sender, and in an answer the changes after the asker's revision.
