Relay what the store holds from hubs, packed, and spare small instances a full read

Each of 295 instances read three pages of 1,184 entries, and each entry that registered was relayed to each instance uncompressed. Change: the mirror keeps the newest change of each key, so that a delta skips what was overwritten and a receiver that is too far behind gets all keys at once; changes are compressed together, once for all that ask from the same revision.

--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -87,6 +87,9 @@
     }
 }
 
+/// Capacity class up to which a machine is small: a tenth of a core on a link of 60 Mbit/s.
+const MAX_SMALL_CLASS: u32 = 2;
+
 impl SiteSettings {
     /// Returns the class of the machine's capacity to carry traffic for others. Each class has twice the
     /// capacity of the one below.
@@ -102,6 +105,12 @@
         class
     }
 
+    /// Returns whether the machine has little capacity for more than callers' requests.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        self.capacity_class() <= MAX_SMALL_CLASS
+    }
+
     /// Returns the number of cores that the process may use.
     #[must_use]
     pub fn usable_cores(&self) -> f64 {
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -20,12 +20,12 @@
 use crate::site::SiteNode;
 use crate::site::fleet_view::FleetView;
 
-/// Time to live of an instance's lease. It allows three renewals, and is short enough that the directory
+/// Time to live of an instance's lease. It allows two renewals, and is short enough that the directory
 /// removes a dead instance within its bound.
 const LEASE_TIME: Duration = Duration::from_millis(5000);
 
 /// Time between two renewals of the lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1500);
+const RENEW_INTERVAL: Duration = Duration::from_millis(2000);
 
 /// Delay before the entry is written again after its lease has ended or a first call has failed, doubled with
 /// each further failure.
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -1,29 +1,36 @@
 //! This instance's mirror of the store, applied in the order of revisions from the store or from other
-//! instances.
+//! instances, and relayed to others.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use burdock_decide::time::Time;
 use burdock_platform::kv::{Record, Records};
-use burdock_wire::messages::{StoreDelta, StoreRecord};
+use burdock_wire::messages::{StoreDelta, StoreRecord, decode_records, encode_records};
 use flate2::Compression;
 use parking_lot::Mutex;
 
 use crate::compression::{compress, decompress};
 
-/// Maximum number of changes kept for other instances. An instance that lacks more reads the store itself.
-const MAX_LOG_CHANGES: usize = 512;
+/// Maximum number of deletions kept for other instances. One that lacks more gets a snapshot.
+const MAX_DELETIONS: usize = 1024;
 
-/// Maximum size of the kept changes, in bytes of keys and values.
-const MAX_LOG_BYTES: usize = 1 << 20;
-
-/// Size above which values are compressed for relaying. Below it compression costs more than it saves.
+/// Size above which a single value is kept compressed.
 const COMPRESSION_THRESHOLD_BYTES: usize = 4 << 10;
 
+/// Size of changes from which they are compressed together. Entries resemble each other.
+const PACK_THRESHOLD_BYTES: usize = 600;
+
 /// Maximum size of a value after decompression, twice the store's own limit.
 const MAX_VALUE_BYTES: u64 = 2 << 20;
 
+/// Maximum size of packed changes after decompression.
+const MAX_PACKED_BYTES: u64 = 24 << 20;
+
+/// Time for which a packed snapshot is reused. Whoever gets it asks for the changes since then.
+const SNAPSHOT_TTL: Duration = Duration::from_millis(600);
+
 /// Maximum age of the store's confirmation up to which an instance relies on its hub's relays and needs no
 /// watch of its own. It covers a hub's long poll, a round trip to the store and two reports, one of them
 /// between regions.
@@ -33,7 +40,7 @@
 /// often, and the answers are still within [`MAX_RELAY_AGE`] when the hub has relayed them.
 const HUB_QUERY_AGE: Duration = Duration::from_millis(900);
 
-/// The store's revision known to this instance, and a log of the newest changes.
+/// The newest change of every key of the store up to a revision.
 #[derive(Debug, Default)]
 pub struct StoreMirror {
     state: Mutex<State>,
@@ -42,11 +49,25 @@
 #[derive(Debug, Default)]
 struct State {
     revision: Option<u64>,
-    // The log holds every change after this revision.
-    log_from: u64,
-    log: VecDeque<StoreRecord>,
-    log_bytes: usize,
+    // Deletions up to this revision are not known.
+    deletions_from: u64,
+    deletion_count: usize,
+    // The newest change of each key, by revision.
+    changes: BTreeMap<(u64, Arc<str>), StoreRecord>,
+    revisions: HashMap<Arc<str>, u64>,
     confirmed_at: Option<Time>,
+    // Packed changes since a revision, up to the current one.
+    packed_since: HashMap<u64, Arc<[u8]>>,
+    packed_snapshot: Option<PackedSnapshot>,
+}
+
+#[derive(Clone, Debug)]
+struct PackedSnapshot {
+    revision: u64,
+    packed_at: Time,
+    // When the store had confirmed what was packed.
+    confirmed_at: Option<Time>,
+    bytes: Arc<[u8]>,
 }
 
 impl StoreMirror {
@@ -74,18 +95,29 @@
         self.confirmed_at().is_none_or(|at| now.since(at) >= HUB_QUERY_AGE)
     }
 
-    /// Replaces the state by a full read of the store. `apply` runs under the lock, before any relay.
-    pub fn apply_snapshot(&self, records: &Records, confirmed_at: Time, apply: impl FnOnce(&[Record])) {
+    /// Replaces the state by all records of the store. `apply` runs under the lock, before any relay. Returns
+    /// `false` and changes nothing if this state is newer.
+    pub fn apply_snapshot(
+        &self,
+        records: Records,
+        confirmed_at: Time,
+        apply: impl FnOnce(&[Record]),
+    ) -> bool {
         let mut state = self.state.lock();
+        if state.revision.is_some_and(|known| known > records.revision) {
+            return false;
+        }
         apply(&records.records);
-        // A read that began before a newer change arrived does not revert that change.
-        let revision = state.revision.unwrap_or(0).max(records.revision);
         *state = State {
-            revision: Some(revision),
-            log_from: revision,
+            revision: Some(records.revision),
+            deletions_from: records.revision,
             confirmed_at: Some(confirmed_at),
             ..State::default()
         };
+        for record in records.records {
+            state.insert(record);
+        }
+        true
     }
 
     /// Applies a complete list of changes after revision `from`. Returns `false` when it would leave a gap.
@@ -103,9 +135,13 @@
         let new_records: Vec<Record> = records.records.into_iter().filter(|r| r.revision > known).collect();
         apply(&new_records);
         for record in new_records {
-            state.append_to_log(record);
+            state.insert(record);
+        }
+        let revision = known.max(records.revision);
+        if revision != known {
+            state.packed_since.clear();
         }
-        state.revision = Some(known.max(records.revision));
+        state.revision = Some(revision);
         state.confirmed_at = state.confirmed_at.max(Some(confirmed_at));
         true
     }
@@ -115,49 +151,102 @@
         self.state.lock().revision = None;
     }
 
-    /// Returns the changes after a revision, for an instance that is at that revision.
+    /// Returns the changes after a revision, for an instance that is at that revision, or all keys if some
+    /// deletions since then are no longer known.
     #[must_use]
     pub fn changes_since(&self, revision: u64, now: Time) -> StoreDelta {
-        let state = self.state.lock();
-        let complete = state.revision.is_some() && revision >= state.log_from;
-        let newer = state.log.iter().filter(|r| complete && r.revision > revision);
-        let age = state.confirmed_at.map(|at| now.since(at).as_millis());
-        StoreDelta {
+        let mut state = self.state.lock();
+        let age_ms = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX - 1);
+        let delta = StoreDelta {
             revision: state.revision.unwrap_or(0),
-            changes: newer.cloned().collect(),
-            is_complete: complete,
-            confirmed_age_ms: age.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX - 1)),
+            is_complete: state.revision.is_some(),
+            confirmed_age_ms: state.confirmed_at.map(age_ms),
+            ..StoreDelta::default()
+        };
+        if !delta.is_complete || revision >= delta.revision {
+            return delta;
+        }
+        if revision < state.deletions_from {
+            let snapshot = state.snapshot(delta.revision, now);
+            return StoreDelta {
+                revision: snapshot.revision,
+                confirmed_age_ms: snapshot.confirmed_at.map(age_ms),
+                packed_changes: Some(snapshot.bytes),
+                is_snapshot: true,
+                ..delta
+            };
+        }
+        let newer = || state.changes.range((revision + 1, Arc::from(""))..).map(|(_, record)| record);
+        if newer().map(record_bytes).sum::<usize>() < PACK_THRESHOLD_BYTES {
+            return StoreDelta { changes: newer().cloned().collect(), ..delta };
         }
+        let known = state.packed_since.get(&revision).cloned();
+        let packed = known.unwrap_or_else(|| pack(newer().collect()));
+        state.packed_since.insert(revision, Arc::clone(&packed));
+        StoreDelta { packed_changes: Some(packed), ..delta }
     }
 }
 
 impl State {
-    fn append_to_log(&mut self, record: Record) {
-        let record = pack_record(record);
-        self.log_bytes += record_bytes(&record);
-        self.log.push_back(record);
-        while self.log.len() > MAX_LOG_CHANGES || self.log_bytes > MAX_LOG_BYTES {
-            let Some(removed) = self.log.pop_front() else {
-                return;
-            };
-            self.log_bytes -= record_bytes(&removed);
-            self.log_from = removed.revision;
+    fn insert(&mut self, record: Record) {
+        let key: Arc<str> = Arc::from(record.key.as_str());
+        if let Some(before) = self.revisions.insert(Arc::clone(&key), record.revision) {
+            let replaced = self.changes.remove(&(before, Arc::clone(&key)));
+            self.deletion_count -= usize::from(replaced.is_some_and(|r| r.value.is_none()));
+        }
+        self.deletion_count += usize::from(record.value.is_none());
+        self.changes.insert((record.revision, key), compress_value(record));
+        while self.deletion_count > MAX_DELETIONS {
+            self.forget_oldest_deletion();
         }
     }
+
+    fn forget_oldest_deletion(&mut self) {
+        let oldest = self.changes.iter().find(|(_, record)| record.value.is_none()).map(|(at, _)| at.clone());
+        if let Some((revision, key)) = oldest {
+            self.revisions.remove(&key);
+            self.changes.remove(&(revision, key));
+            self.deletions_from = self.deletions_from.max(revision);
+        }
+        self.deletion_count -= 1;
+    }
+
+    fn snapshot(&mut self, revision: u64, now: Time) -> PackedSnapshot {
+        let is_usable =
+            |s: &&PackedSnapshot| s.revision >= self.deletions_from && now.since(s.packed_at) < SNAPSHOT_TTL;
+        if let Some(found) = self.packed_snapshot.as_ref().filter(is_usable) {
+            return found.clone();
+        }
+        let present = self.changes.values().filter(|record| record.value.is_some()).collect();
+        let bytes = pack(present);
+        let snapshot = PackedSnapshot { revision, packed_at: now, confirmed_at: self.confirmed_at, bytes };
+        self.packed_snapshot = Some(snapshot.clone());
+        snapshot
+    }
 }
 
 /// Decompresses the records of another instance's delta.
 ///
 /// # Errors
-/// When a value can't be decompressed.
+/// When a value can't be decompressed, or the records can't be decoded.
 pub fn unpack_records(delta: StoreDelta) -> std::io::Result<Records> {
-    let records = delta.changes.into_iter().map(unpack_record).collect::<std::io::Result<_>>()?;
+    let changes = match delta.packed_changes {
+        Some(packed) => {
+            decode_records(&decompress(&packed, MAX_PACKED_BYTES)?).map_err(std::io::Error::other)?
+        }
+        None => delta.changes,
+    };
+    let records = changes.into_iter().map(decompress_value).collect::<std::io::Result<_>>()?;
     Ok(Records { records, revision: delta.revision })
 }
 
-// Compresses large values once for all receivers, since a large configuration goes to every instance of a
-// region over one machine's link.
-fn pack_record(record: Record) -> StoreRecord {
+fn pack(records: Vec<&StoreRecord>) -> Arc<[u8]> {
+    let encoded = encode_records(records.into_iter());
+    // Writing to memory does not fail; what is not compressed would not be decoded.
+    compress(&encoded, Compression::fast()).map(Arc::from).unwrap_or_default()
+}
+
+fn compress_value(record: Record) -> StoreRecord {
     let Record { key, value, revision } = record;
     let large = value.as_ref().filter(|value| value.len() > COMPRESSION_THRESHOLD_BYTES);
     match large.and_then(|value| compress(value, Compression::fast()).ok()) {
@@ -166,7 +255,7 @@
     }
 }
 
-fn unpack_record(record: StoreRecord) -> std::io::Result<Record> {
+fn decompress_value(record: StoreRecord) -> std::io::Result<Record> {
     let value = match record.value {
         Some(packed) if record.is_compressed => Some(decompress(&packed, MAX_VALUE_BYTES)?),
         value => value,
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -9,14 +9,14 @@
 use burdock_model::error::Error;
 use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_model::site::{SiteChange, SiteConfigIndex};
-use burdock_platform::decode::{decode_change, is_backend_entry, is_config};
-use burdock_platform::kv::{Record, WatchOutcome};
+use burdock_platform::decode::{INSTANCE_PREFIX, decode_change, is_backend_entry, is_config};
+use burdock_platform::kv::{Record, Records, WatchOutcome};
 use burdock_platform::store::StoreResult;
 use burdock_wire::messages::StoreDelta;
 
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
-use crate::site::mirror::unpack_records;
+use crate::site::mirror::{MAX_RELAY_AGE, unpack_records};
 use crate::site::{RejectedConfig, SiteNode};
 
 /// Maximum wait of a watch call. A hub's relays are at most this old, plus a round trip to the store.
@@ -38,6 +38,12 @@
 /// only when the hub alone is cut off.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2500);
 
+/// Maximum time for which a small instance waits for its hub to relay all keys.
+const MAX_SNAPSHOT_WAIT: Duration = Duration::from_millis(1500);
+
+/// Checks for a snapshot between two reads of the list of instances.
+const POLLS_PER_LIST: usize = 4;
+
 /// Interval between two removals of expired entries.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -51,11 +57,12 @@
     loop {
         let now = node.clock.now();
         let is_hub = node.hub.hub_of(&node, &node.settings.region).is_none();
-        if !is_hub && node.mirror.is_fresh(now) {
+        if !is_hub && node.mirror.is_fresh(now) && node.mirror.revision().is_some() {
             tokio::time::sleep(RELAY_POLL_INTERVAL).await;
             continue;
         }
         let result = match node.mirror.revision() {
+            None if node.settings.is_small() && wait_for_snapshot(&node).await => continue,
             None => read_all(&node).await,
             Some(after) => watch_changes(&node, after).await,
         };
@@ -87,6 +94,7 @@
         return;
     };
     let confirmed_at = requested_at - Duration::from_millis(u64::from(age));
+    let is_snapshot = delta.is_snapshot;
     let records = match unpack_records(delta) {
         Ok(records) => records,
         Err(e) => {
@@ -94,7 +102,37 @@
             return;
         }
     };
-    node.mirror.apply_changes(from, records, confirmed_at, |records| apply_records(node, records));
+    if !is_snapshot {
+        node.mirror.apply_changes(from, records, confirmed_at, |records| apply_records(node, records));
+    } else if node.clock.now().since(confirmed_at) < MAX_RELAY_AGE {
+        // An older one might bring back what another source has removed since.
+        apply_all(node, records, confirmed_at);
+    }
+}
+
+// Waits until the hub relays all keys to a small instance, which spares the store a full read. Returns
+// `false` when this instance has to read them itself.
+async fn wait_for_snapshot(node: &SiteNode) -> bool {
+    let started_at = node.clock.now();
+    while node.clock.now().since(started_at) < MAX_SNAPSHOT_WAIT {
+        // A stale list does, since the hub's own state is what counts.
+        match node.kv.read_prefix(INSTANCE_PREFIX, true).await {
+            Ok(listed) => apply_records(node, &listed.records),
+            Err(e) => log::info!("the list of instances could not be read: {e}"),
+        }
+        let region = &node.settings.region;
+        let has_hub = node.hub.hub_of(node, region).is_some();
+        if !has_hub && node.fleet.view().hubs(region).next().is_some() {
+            return false;
+        }
+        for _ in 0..POLLS_PER_LIST {
+            tokio::time::sleep(RELAY_POLL_INTERVAL).await;
+            if node.mirror.revision().is_some() {
+                return true;
+            }
+        }
+    }
+    false
 }
 
 /// Removes expired backend servers, instances and quarantine entries at a fixed interval.
@@ -112,7 +150,14 @@
 async fn read_all(node: &SiteNode) -> StoreResult<()> {
     let requested_at = node.clock.now();
     let all = node.kv.read_prefix(ALL_KEYS, false).await?;
-    node.mirror.apply_snapshot(&all, requested_at, |records| {
+    apply_all(node, all, requested_at);
+    Ok(())
+}
+
+// Applies all keys of the store: what is not among them is gone.
+fn apply_all(node: &SiteNode, all: Records, confirmed_at: Time) {
+    let revision = all.revision;
+    node.mirror.apply_snapshot(all, confirmed_at, |records| {
         let mut listed = ListedEntries::default();
         for record in records {
             apply_record(node, record, Some(&mut listed));
@@ -125,11 +170,10 @@
             }
         }
         if !listed.instances.contains(&node.incarnation.instance) {
-            node.fleet.notify_own_entry_missing(all.revision);
+            node.fleet.notify_own_entry_missing(revision);
         }
     });
     advance_if_published(node);
-    Ok(())
 }
 
 async fn watch_changes(node: &SiteNode, after: u64) -> StoreResult<()> {
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -184,6 +184,14 @@
   leaving @10 :List(LeavingRun);
   # Service times at backend servers that are slow, relative to the usual ones; in an answer, by all others.
   slowness @11 :List(Tally);
+  # In an answer: `StoreRecords` as a compressed message (zlib), instead of `changes`.
+  packedChanges @12 :Data;
+  # In an answer: the changes are all keys that the store has, and no other key is left.
+  snapshot @13 :Bool;
+}
+
+struct StoreRecords {
+  records @0 :List(StoreRecord);
 }
 
 interface Peer {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -1,5 +1,7 @@
 //! Conversion between message structs and their Cap'n Proto encoding.
 
+use std::sync::Arc;
+
 use burdock_model::error::{Error, ErrorKind};
 use burdock_model::fleet::{BackendLoad, Heartbeat, Split, Strike, Succession};
 use burdock_model::ids::{
@@ -244,8 +246,30 @@
     to.set_revision(report.store.revision);
     to.set_complete(report.store.is_complete);
     to.set_store_age_ms(report.store.confirmed_age_ms.unwrap_or(UNKNOWN_AGE_MS));
-    let mut list = to.init_changes(list_len(&report.store.changes));
-    for (ix, record) in (0..).zip(&report.store.changes) {
+    to.set_snapshot(report.store.is_snapshot);
+    if let Some(packed) = &report.store.packed_changes {
+        to.set_packed_changes(packed);
+    }
+    write_records(report.store.changes.iter(), to.init_changes(list_len(&report.store.changes)));
+}
+
+pub fn write_store_records<'a>(
+    records: impl ExactSizeIterator<Item = &'a StoreRecord>,
+    to: wire::store_records::Builder<'_>,
+) {
+    let count = u32::try_from(records.len()).unwrap_or(u32::MAX);
+    write_records(records, to.init_records(count));
+}
+
+pub fn read_store_records(from: wire::store_records::Reader<'_>) -> Result<Vec<StoreRecord>> {
+    from.get_records()?.iter().map(read_store_record).collect()
+}
+
+fn write_records<'a>(
+    records: impl Iterator<Item = &'a StoreRecord>,
+    mut list: capnp::struct_list::Builder<'_, wire::store_record::Owned>,
+) {
+    for (ix, record) in (0..).zip(records) {
         let mut to = list.reborrow().get(ix);
         to.set_key(&record.key);
         to.set_revision(record.revision);
@@ -268,7 +292,9 @@
         store: StoreDelta {
             revision: from.get_revision(),
             changes: from.get_changes()?.iter().map(read_store_record).collect::<Result<_>>()?,
+            packed_changes: Some(from.get_packed_changes()?).filter(|p| !p.is_empty()).map(Arc::from),
             is_complete: from.get_complete(),
+            is_snapshot: from.get_snapshot(),
             confirmed_age_ms: Some(from.get_store_age_ms()).filter(|age| *age != UNKNOWN_AGE_MS),
         },
         strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -1,6 +1,7 @@
 //! Plain structs for the messages between instances.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use burdock_model::error::{Error, ErrorKind};
 use burdock_model::fleet::{BackendLoad, Heartbeat, Split, Strike, Succession};
@@ -108,8 +109,12 @@
     pub revision: u64,
     /// Changes after the asker's revision.
     pub changes: Vec<StoreRecord>,
-    /// Whether `changes` holds every change after the asker's revision.
+    /// Changes after the asker's revision as compressed bytes of [`encode_records`], instead of `changes`.
+    pub packed_changes: Option<Arc<[u8]>>,
+    /// Whether the changes are every one after the asker's revision.
     pub is_complete: bool,
+    /// Whether the changes are all keys of the store instead, so that a key that is not among them is gone.
+    pub is_snapshot: bool,
     /// Milliseconds since the store last confirmed `revision`; `None` if it never did.
     pub confirmed_age_ms: Option<u32>,
 }
@@ -257,6 +262,34 @@
     }
 }
 
+/// Encodes records of the store, to be compressed together.
+#[must_use]
+pub fn encode_records<'a>(records: impl ExactSizeIterator<Item = &'a StoreRecord>) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    crate::convert::write_store_records(records, message.init_root());
+    capnp::serialize::write_message_to_words(&message)
+}
+
+/// Decodes what [`encode_records`] encoded.
+///
+/// ```
+/// use burdock_wire::messages::{StoreRecord, decode_records, encode_records};
+/// let record = StoreRecord { key: "a".to_owned(), value: None, is_compressed: false, revision: 3 };
+/// let encoded = encode_records(std::iter::once(&record));
+/// assert_eq!(decode_records(&encoded).unwrap(), [record]);
+/// assert!(decode_records(b"odd").is_err());
+/// ```
+///
+/// # Errors
+/// [`ErrorKind::Internal`] when the bytes are malformed.
+pub fn decode_records(mut bytes: &[u8]) -> Result<Vec<StoreRecord>, Error> {
+    let decode = |bytes: &mut &[u8]| {
+        let message = capnp::serialize::read_message(bytes, crate::convert::reader_options())?;
+        crate::convert::read_store_records(message.get_root()?)
+    };
+    decode(&mut bytes).map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))
+}
+
 /// Returns the encoded size of a gossip message in bytes, without the framing of the session.
 #[must_use]
 pub fn encoded_bytes(exchange: &Exchange) -> usize {
