Divide allowances by the capacity of instances while not all report

A hub's share until all 295 instances report was the number that reports to it, and of these the 268 small ones, to which no callers are steered, come late. Ruled out: readiness (a large instance in the store's region serves 68 ms after its start, 1.0 s in another region), queues. Change: even shares are by weight (two to the power of the capacity class), of reporters against all known; the sum of all weights is recorded in the store beside the number of instances, and a list counts as settled once that record is known. Uniform fleets divide as before.

--- a/crates/burdock-decide/src/apportion.rs
+++ b/crates/burdock-decide/src/apportion.rs
@@ -6,10 +6,13 @@
 //! all of them, or the even share of its instances if it never did. The same holds for a hub that has just
 //! started: instances may be missing from the list that it read, if their leases ended while the store was
 //! unavailable.
+//!
+//! Even shares are by capacity, since callers are steered to the largest instances: load pattern of a fleet of
+//! a few large and many small instances that all restart, whose callers come back before everyone reports.
 
 use burdock_model::hash::rendezvous_order;
 
-/// Share that is divided evenly over instances regardless of demand, so that a first request finds some
+/// Share that is divided by the weights of instances regardless of demand, so that a first request finds some
 /// allowance.
 const EVEN_SHARE: f64 = 0.1;
 
@@ -20,8 +23,10 @@
     pub own_demand: f64,
     /// Requests per second at all instances that reported to any hub, including these.
     pub total_demand: f64,
-    /// Instances that report to this hub.
-    pub own_instances: f64,
+    /// Sum of the weights of the instances that report to this hub.
+    pub own_weight: f64,
+    /// Sum of the weights of all instances that may be serving requests.
+    pub expected_weight: f64,
     /// Instances that reported to any hub recently, including these.
     pub reporting_instances: f64,
     /// Instances that may be serving requests.
@@ -32,33 +37,33 @@
     pub last_distributed: Option<DistributedShare>,
 }
 
-/// Share of an allowance that a hub distributed, and to how many instances.
+/// Share of an allowance that a hub distributed, and to which weight of instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DistributedShare {
     /// Share of the whole allowance, from 0 to 1.
     pub share: f64,
-    /// Number of instances that reported to the hub.
-    pub instances: f64,
+    /// Sum of the weights of the instances that reported to the hub.
+    pub weight: f64,
 }
 
 /// Returns the share of the whole allowance that this hub distributes, from 0 to 1.
 ///
 /// ```
 /// use burdock_decide::apportion::{ApportionView, hub_share};
-/// let alone = ApportionView { own_demand: 5.0, total_demand: 5.0, own_instances: 1.0,
+/// let alone = ApportionView { own_demand: 5.0, total_demand: 5.0, own_weight: 2.0, expected_weight: 8.0,
 ///     reporting_instances: 1.0, expected_instances: 4.0, list_is_settled: true, last_distributed: None };
 /// assert!((hub_share(&alone) - 0.25).abs() < 1e-9);
 /// ```
 #[must_use]
 pub fn hub_share(view: &ApportionView) -> f64 {
-    let even = view.own_instances / view.expected_instances.max(view.own_instances).max(1.0);
+    let even = view.own_weight / view.expected_weight.max(view.own_weight).max(1.0);
     let by_demand = if view.total_demand > 0.0 { view.own_demand / view.total_demand } else { even };
     let wanted = EVEN_SHARE * even + (1.0 - EVEN_SHARE) * by_demand;
     if sees_all_instances(view) {
         return wanted;
     }
     match view.last_distributed {
-        Some(last) => last.share * (view.own_instances / last.instances.max(1.0)).min(1.0),
+        Some(last) => last.share * (view.own_weight / last.weight.max(1.0)).min(1.0),
         None => even,
     }
 }
--- a/crates/burdock-decide/tests/apportion.rs
+++ b/crates/burdock-decide/tests/apportion.rs
@@ -10,9 +10,10 @@
         hub_share(&ApportionView {
             own_demand: *own_demand,
             total_demand: total,
-            own_instances: *own_instances,
+            own_weight: *own_instances,
             reporting_instances: reporting,
             expected_instances: expected,
+            expected_weight: expected,
             list_is_settled: true,
             last_distributed: None,
         })
@@ -33,8 +34,8 @@
 
     #[test]
     fn isolated_instances_get_at_most_their_even_share(expected in 1.0..600.0_f64, demand in 0.0..1e5_f64) {
-        let alone = ApportionView { own_demand: demand, total_demand: demand, own_instances: 1.0,
-            reporting_instances: 1.0, expected_instances: expected, list_is_settled: true,
+        let alone = ApportionView { own_demand: demand, total_demand: demand, own_weight: 1.0,
+            reporting_instances: 1.0, expected_instances: expected, expected_weight: expected, list_is_settled: true,
             last_distributed: None };
         prop_assert!(hub_share(&alone) <= 1.0 / expected + 1e-9);
     }
@@ -46,9 +47,10 @@
         hub_share(&ApportionView {
             own_demand: 50.0,
             total_demand: 50.0,
-            own_instances: instances,
+            own_weight: instances,
             reporting_instances: instances,
             expected_instances: 25.0,
+            expected_weight: 25.0,
             list_is_settled: true,
             last_distributed: None,
         })
@@ -62,9 +64,10 @@
         hub_share(&ApportionView {
             own_demand: demand,
             total_demand: 100.0,
-            own_instances: 5.0,
+            own_weight: 5.0,
             reporting_instances: 25.0,
             expected_instances: 25.0,
+            expected_weight: 25.0,
             list_is_settled: true,
             last_distributed: None,
         })
@@ -82,16 +85,17 @@
     let view = |own: f64, own_demand: f64, other_demand: f64| ApportionView {
         own_demand,
         total_demand: own_demand + other_demand,
-        own_instances: own,
+        own_weight: own,
         reporting_instances: small + large,
         expected_instances: small + large,
+        expected_weight: small + large,
         list_is_settled: true,
         last_distributed: None,
     };
     let before = [view(small, 10.0, 50.0), view(large, 50.0, 10.0)];
     let during = [(small, 60.0, 50.0), (large, 300.0, 10.0)].into_iter().zip(before).map(
         |((own, now, old), before)| {
-            let last_distributed = Some(DistributedShare { share: hub_share(&before), instances: own });
+            let last_distributed = Some(DistributedShare { share: hub_share(&before), weight: own });
             hub_share(&ApportionView { reporting_instances: own, last_distributed, ..view(own, now, old) })
         },
     );
@@ -103,11 +107,12 @@
     let view = ApportionView {
         own_demand: 10.0,
         total_demand: 10.0,
-        own_instances: 2.0,
+        own_weight: 2.0,
         reporting_instances: 2.0,
         expected_instances: 25.0,
+        expected_weight: 25.0,
         list_is_settled: true,
-        last_distributed: Some(DistributedShare { share: 0.6, instances: 6.0 }),
+        last_distributed: Some(DistributedShare { share: 0.6, weight: 6.0 }),
     };
     expect_that!(hub_share(&view), approx_eq(0.2));
 }
@@ -119,13 +124,39 @@
     let alone = ApportionView {
         own_demand: 30.0,
         total_demand: 30.0,
-        own_instances: 1.0,
+        own_weight: 1.0,
         reporting_instances: 1.0,
         // Number of availability zones in its settings.
         expected_instances: 6.0,
+        expected_weight: 6.0,
         list_is_settled: false,
         last_distributed: None,
     };
     expect_that!(hub_share(&alone), approx_eq(1.0 / 6.0));
     expect_that!(sees_all_instances(&ApportionView { expected_instances: 1.0, ..alone }), eq(false));
 }
+
+// All of a fleet with 27 large and 268 small instances restart. Callers come to the large ones, which report
+// first. By numbers a region's hub would distribute a twentieth of each allowance meanwhile.
+#[gtest]
+fn large_instances_that_report_first_get_most_of_an_allowance() {
+    const LARGE_WEIGHT: f64 = 64.0;
+    const SMALL_WEIGHT: f64 = 2.0;
+    let expected_weight = 27.0 * LARGE_WEIGHT + 268.0 * SMALL_WEIGHT;
+    let hub = |large: f64, small: f64| {
+        hub_share(&ApportionView {
+            own_demand: 100.0,
+            total_demand: 100.0,
+            own_weight: large * LARGE_WEIGHT + small * SMALL_WEIGHT,
+            reporting_instances: large + small,
+            expected_instances: 295.0,
+            expected_weight,
+            list_is_settled: true,
+            last_distributed: None,
+        })
+    };
+    expect_that!(hub(9.0, 5.0), gt(0.25));
+    // Three regions together, and those that are left alone, stay within the whole.
+    let alone = 20.0 * hub(0.0, 1.0);
+    expect_that!(2.0 * hub(9.0, 90.0) + hub(9.0, 68.0) + alone, le(1.0 + 1e-9));
+}
--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -161,6 +161,27 @@
     pub cores: f64,
 }
 
+impl RegisteredInstance {
+    /// Returns the weight of the instance when allowances are divided.
+    #[must_use]
+    pub fn weight(&self) -> u32 {
+        allowance_weight(self.capacity_class)
+    }
+}
+
+/// Returns the weight of an instance of a capacity class when allowances are divided: its capacity relative to
+/// the smallest one.
+///
+/// ```
+/// use burdock_model::site::allowance_weight;
+/// assert_eq!((allowance_weight(0), allowance_weight(6)), (1, 64));
+/// ```
+#[must_use]
+pub fn allowance_weight(capacity_class: u32) -> u32 {
+    const MAX_CLASS: u32 = 12;
+    1 << capacity_class.min(MAX_CLASS)
+}
+
 /// Change to the state of a deployment that the store reports.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SiteChange {
@@ -174,6 +195,8 @@
     Instance(crate::ids::InstanceId, Option<RegisteredInstance>),
     /// Number of instances in the fleet when it was last written. The record outlives the instances' entries.
     FleetSize(usize),
+    /// Sum of the weights of the instances in the fleet when it was last written.
+    FleetWeight(u64),
 }
 
 /// A deployment's configuration with indices for look-ups.
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -10,7 +10,7 @@
 use burdock_decide::time::Time;
 use burdock_model::ids::InstanceId;
 use burdock_model::site::RegisteredInstance;
-use burdock_platform::decode::{FLEET_SIZE_KEY, instance_key};
+use burdock_platform::decode::{FLEET_SIZE_KEY, FLEET_WEIGHT_KEY, instance_key};
 use burdock_platform::kv::{CommitOutcome, Transaction};
 use burdock_platform::store::StoreResult;
 use parking_lot::Mutex;
@@ -51,6 +51,8 @@
     is_stale: AtomicBool,
     // The fleet size recorded in the store; 0 for none.
     recorded_size: AtomicUsize,
+    // The sum of weights recorded in the store; 0 for none.
+    recorded_weight: AtomicU64,
     // The store's revision of this instance's own entry; 0 while it has none.
     entry_revision: AtomicU64,
     entry_missing: Notify,
@@ -93,8 +95,11 @@
     pub fn view(&self) -> Arc<FleetView> {
         if self.is_stale.swap(false, Ordering::AcqRel) {
             let members = self.members.lock();
-            let listed = members.values().filter(|m| m.delisted_at.is_none()).map(|m| m.registered.clone());
-            self.view.store(Arc::new(FleetView::new(listed.collect(), members.len())));
+            let (listed, unlisted): (Vec<&Member>, Vec<&Member>) =
+                members.values().partition(|m| m.delisted_at.is_none());
+            let unlisted: Vec<&RegisteredInstance> = unlisted.into_iter().map(|m| &m.registered).collect();
+            let listed = listed.into_iter().map(|m| m.registered.clone()).collect();
+            self.view.store(Arc::new(FleetView::new(listed, &unlisted)));
         }
         self.view.load_full()
     }
@@ -110,6 +115,17 @@
         self.recorded_size.load(Ordering::Relaxed)
     }
 
+    /// Sets the sum of the instances' weights that the store records.
+    pub fn set_recorded_weight(&self, weight: u64) {
+        self.recorded_weight.store(weight, Ordering::Relaxed);
+    }
+
+    /// Returns the sum of the instances' weights that the store records; 0 for none.
+    #[must_use]
+    pub fn recorded_weight(&self) -> u64 {
+        self.recorded_weight.load(Ordering::Relaxed)
+    }
+
     /// Triggers a new registration when this instance's entry is missing at a later revision than its own.
     pub fn notify_own_entry_missing(&self, revision: u64) {
         let entry_revision = self.entry_revision.load(Ordering::Relaxed);
@@ -148,12 +164,18 @@
 
 /// Records the fleet size in the store, for instances that start while entries are missing there.
 pub async fn record_size(node: &SiteNode) {
-    let (count, recorded) = (node.fleet.view().expected, node.fleet.recorded_size());
+    let view = node.fleet.view();
+    let (recorded, recorded_weight) = (node.fleet.recorded_size(), node.fleet.recorded_weight());
     let may_lower = node.clock.now().since(node.started_at) >= MIN_UPTIME_TO_LOWER_SIZE;
-    if count == recorded || (count < recorded && !may_lower) {
+    let count = if may_lower { view.expected } else { view.expected.max(recorded) };
+    let weight = if may_lower { view.expected_weight } else { view.expected_weight.max(recorded_weight) };
+    if (count, weight) == (recorded, recorded_weight) {
         return;
     }
-    let put = vec![(FLEET_SIZE_KEY.to_owned(), count.to_string().into_bytes(), 0)];
+    let put = vec![
+        (FLEET_SIZE_KEY.to_owned(), count.to_string().into_bytes(), 0),
+        (FLEET_WEIGHT_KEY.to_owned(), weight.to_string().into_bytes(), 0),
+    ];
     match node.kv.commit(&Transaction { put, ..Transaction::default() }).await {
         Ok(_committed) => log::info!(count = count, before = recorded; "fleet size recorded"),
         Err(e) => log::warn!(count = count; "fleet size could not be recorded: {e}"),
--- a/crates/burdock-node/src/site/fleet_view.rs
+++ b/crates/burdock-node/src/site/fleet_view.rs
@@ -15,6 +15,8 @@
     pub listed: Vec<RegisteredInstance>,
     /// Number of instances that may be using a share of the allowances, listed or not.
     pub expected: usize,
+    /// Sum of the weights of these instances.
+    pub expected_weight: u64,
     regions: BTreeMap<RegionName, RegionView>,
 }
 
@@ -27,12 +29,15 @@
 }
 
 impl FleetView {
-    /// Computes the view of a list of instances, of which `expected` may be serving, also unlisted ones.
+    /// Computes the view of a list of instances. Besides them `unlisted` ones may be serving.
     #[must_use]
-    pub fn new(listed: Vec<RegisteredInstance>, expected: usize) -> Self {
+    pub fn new(listed: Vec<RegisteredInstance>, unlisted: &[&RegisteredInstance]) -> Self {
+        let expected = listed.len() + unlisted.len();
+        let weights = listed.iter().chain(unlisted.iter().copied()).map(|i| u64::from(i.weight()));
+        let expected_weight = weights.sum();
         let names: BTreeSet<&RegionName> = listed.iter().map(|i| &i.region).collect();
         let regions = names.into_iter().map(|name| (name.clone(), RegionView::of(&listed, name))).collect();
-        Self { listed, expected, regions }
+        Self { listed, expected, expected_weight, regions }
     }
 
     /// Returns the instances of a region in hub order.
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -11,7 +11,7 @@
 use burdock_decide::limit::{Allotment, Bucket, TOKEN};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
-use burdock_model::site::Organisation;
+use burdock_model::site::{Organisation, allowance_weight};
 use burdock_wire::messages::{HashedAmount, PeerAddress, StoreDelta, TokenGrant, TrafficReport};
 use parking_lot::Mutex;
 
@@ -35,11 +35,15 @@
 /// with what the previous hub may have granted.
 const INITIAL_FILL_TIME: Duration = Duration::from_millis(300);
 
-/// Number of instances among which the deployment's allowances are divided.
+/// The instances among which the deployment's allowances are divided.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetSize {
     /// Number of instances that may be serving.
     pub expected: usize,
+    /// Sum of their weights.
+    pub expected_weight: u64,
+    /// Weight of this instance.
+    pub own_weight: u32,
     /// Whether the list of instances has been known for long enough to be complete.
     pub is_settled: bool,
 }
@@ -49,10 +53,22 @@
     /// settled, it is also at least the number of availability zones, each assumed to have an instance.
     #[must_use]
     pub fn of(node: &SiteNode) -> Self {
-        let is_settled = node.clock.now().since(node.started_at) >= LIST_SETTLE_TIME;
-        let known = node.fleet.view().expected.max(node.fleet.recorded_size());
+        // The recorded number covers instances that are missing from the list.
+        let is_settled = node.fleet.recorded_size() > 0
+            || node.clock.now().since(node.started_at) >= LIST_SETTLE_TIME;
+        let view = node.fleet.view();
+        let known = view.expected.max(node.fleet.recorded_size());
         let zones = node.settings.regions.len();
-        Self { expected: if is_settled { known } else { known.max(zones) }, is_settled }
+        let expected = if is_settled { known } else { known.max(zones) };
+        let own_weight = allowance_weight(node.settings.capacity_class());
+        // Instances that are only counted are taken for as large as this one.
+        let uncounted = expected.saturating_sub(view.expected) as u64 * u64::from(own_weight);
+        let recorded_weight = node.fleet.recorded_weight();
+        let is_recorded = recorded_weight > 0 && expected <= node.fleet.recorded_size().max(view.expected);
+        let known_weight = view.expected_weight.max(recorded_weight);
+        let expected_weight =
+            if is_recorded { known_weight } else { known_weight.max(view.expected_weight + uncounted) };
+        Self { expected, expected_weight, own_weight, is_settled }
     }
 }
 
@@ -114,6 +130,7 @@
         TrafficReport {
             sender: own.clone(),
             instance_count: 0,
+            weight: 0,
             demands: Vec::new(),
             in_flight: remote_in_flight,
             is_from_hub: false,
@@ -179,12 +196,15 @@
         let own_demand = total_demand(self.reporters.values(), hash);
         let other_demand = total_demand(self.hubs.values(), hash);
         let own_instances = self.reporters.len().max(1) as f64;
+        let reported_weight: u32 = self.reporters.values().map(|r| r.report.weight).sum();
+        let own_weight = f64::from(reported_weight.max(fleet_size.own_weight));
         let fresh = self.hubs.values().filter(|r| now.since(r.received_at) < REPORT_TTL);
         let others: u32 = fresh.map(|r| r.report.instance_count).sum();
         let view = ApportionView {
             own_demand,
             total_demand: own_demand + other_demand,
-            own_instances,
+            own_weight,
+            expected_weight: fleet_size.expected_weight as f64,
             reporting_instances: own_instances + f64::from(others),
             expected_instances: fleet_size.expected as f64,
             list_is_settled: fleet_size.is_settled,
@@ -192,7 +212,7 @@
         };
         let own_share = hub_share(&view);
         if sees_all_instances(&view) {
-            self.distributed.insert(hash, DistributedShare { share: own_share, instances: own_instances });
+            self.distributed.insert(hash, DistributedShare { share: own_share, weight: own_weight });
         }
         let allotment = allotment(organisation, own_share);
         let bucket =
@@ -221,6 +241,7 @@
         TrafficReport {
             sender: own.clone(),
             instance_count: u32::try_from(self.reporters.len()).unwrap_or(u32::MAX),
+            weight: self.reporters.values().map(|r| r.report.weight).sum(),
             demands: to_amounts(&demands),
             in_flight: to_amounts(&in_flight),
             is_from_hub: true,
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use burdock_model::prelude::*;
-use burdock_model::site::Organisation;
+use burdock_model::site::{Organisation, allowance_weight};
 use burdock_wire::messages::{Hello, StoreDelta, TokenGrant, TokenRequest, TrafficReport};
 use burdock_wire::server::{Handler, Handlers};
 use futures::FutureExt;
@@ -69,6 +69,7 @@
     let report = TrafficReport {
         sender: node.incarnation.instance.clone(),
         instance_count: 1,
+        weight: allowance_weight(node.settings.capacity_class()),
         demands: node.allowances.demands(now),
         in_flight: node.backends.in_flight(),
         is_from_hub: false,
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -274,5 +274,6 @@
             node.fleet.apply_entry(&id, entry, now);
         }
         SiteChange::FleetSize(count) => node.fleet.set_recorded_size(count),
+        SiteChange::FleetWeight(weight) => node.fleet.set_recorded_weight(weight),
     }
 }
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -19,7 +19,7 @@
         burst: 500.0,
         regions: Vec::new(),
     };
-    let fleet_size = FleetSize { expected: 5, is_settled: true };
+    let fleet_size = FleetSize { expected: 5, expected_weight: 5, own_weight: 1, is_settled: true };
     let hub = Hub::default();
     let mut now = Time::from_millis(1000);
     for _ in 0..40 {
@@ -34,6 +34,7 @@
     TrafficReport {
         sender: InstanceId::new(sender).unwrap(),
         instance_count: 1,
+        weight: 1,
         demands: Vec::new(),
         in_flight: in_flight.to_vec(),
         is_from_hub: false,
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -188,6 +188,8 @@
   packedChanges @12 :Data;
   # In an answer: the changes are all keys that the store has, and no other key is left.
   snapshot @13 :Bool;
+  # Sum of the weights of the instances that it speaks for.
+  weight @14 :UInt32;
 }
 
 struct StoreRecords {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -232,6 +232,7 @@
 pub fn write_traffic_report(report: &TrafficReport, mut to: wire::traffic::Builder<'_>) {
     to.set_sender(report.sender.as_str());
     to.set_instances(report.instance_count);
+    to.set_weight(report.weight);
     to.set_from_hub(report.is_from_hub);
     write_amounts(&report.demands, to.reborrow().init_demands(list_len(&report.demands)));
     write_amounts(&report.in_flight, to.reborrow().init_at_work(list_len(&report.in_flight)));
@@ -286,6 +287,7 @@
         sender: InstanceId::new(read_str(from.get_sender()?)?)
             .map_err(|e| WireError::failed(e.to_string()))?,
         instance_count: from.get_instances(),
+        weight: from.get_weight(),
         demands: from.get_demands()?.iter().map(read_amount).collect(),
         in_flight: from.get_at_work()?.iter().map(read_amount).collect(),
         is_from_hub: from.get_from_hub(),
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -76,6 +76,8 @@
     pub sender: InstanceId,
     /// Number of instances that the report covers; 0 in a hub's answer to an instance.
     pub instance_count: u32,
+    /// Sum of the weights of the instances that the report covers.
+    pub weight: u32,
     /// Requests per second of each organisation.
     pub demands: Vec<HashedAmount>,
     /// Requests in flight at each backend server; in a hub's answer, those placed by all other instances.
