Steer the callers of a large fleet to its few large instances, and keep to a hub that is only busy

Cause 1: steering targets must hold 0.4 of a region's cores; in the large deployment nine of half a core hold 0.31, so the directory named 64 of 98 instances in each region. Each kept connections to 889 backend servers and was told their loads four times a second. Change: 0.25. Test: few_large_instances_take_all_callers_of_a_large_fleet. Change: a hub is left for a token call only when it refuses connections or has answered nothing for 400 ms. Test: hub_that_grants_late_is_left_only_after_a_silence. Also: small instances look for the store themselves only after 4 s without a confirmation, and renew longer leases.

--- a/crates/burdock-decide/src/entries.rs
+++ b/crates/burdock-decide/src/entries.rs
@@ -9,7 +9,7 @@
 
 /// Minimum fraction of the cores of a region that steering targets hold. A fleet is sized to be mostly idle,
 /// and load may double within seconds.
-const MIN_CORES_FRACTION: f64 = 0.4;
+const MIN_CORES_FRACTION: f64 = 0.25;
 
 /// Minimum number of steering targets, so that callers still have a choice when one fails.
 const MIN_STEERING_TARGETS: usize = 3;
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -20,12 +20,16 @@
 use crate::site::SiteNode;
 use crate::site::fleet_view::FleetView;
 
-/// Time to live of an instance's lease. It allows two renewals, and is short enough that the directory
-/// removes a dead instance within its bound.
+/// Time to live of an instance's lease. It is short enough that the directory removes a dead instance within
+/// its bound.
 const LEASE_TIME: Duration = Duration::from_millis(5000);
 
-/// Time between two renewals of the lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(2000);
+/// Time to live of a small instance's lease beyond the time after which an instance counts as in contact. No
+/// callers are steered to it as long as there are larger ones.
+const SMALL_LEASE_MARGIN: Duration = Duration::from_millis(1800);
+
+/// Fraction of a lease's time between two renewals. It allows two renewals.
+const RENEW_FRACTION: f64 = 0.4;
 
 /// Delay before the entry is written again after its lease has ended or a first call has failed, doubled with
 /// each further failure.
@@ -193,7 +197,7 @@
 
 // Writes the entry. Returns its lease and its revision in the store.
 async fn register(node: &SiteNode) -> StoreResult<(u64, u64)> {
-    let lease = node.kv.grant_lease(LEASE_TIME).await?;
+    let lease = node.kv.grant_lease(lease_time(node)).await?;
     let listen = &node.settings.listen;
     let entry = RegisteredInstance {
         id: node.incarnation.instance.clone(),
@@ -215,10 +219,18 @@
     }
 }
 
+fn lease_time(node: &SiteNode) -> Duration {
+    if node.settings.is_small() {
+        LEASE_TIME.max(node.settings.bounds.contact_time + SMALL_LEASE_MARGIN)
+    } else {
+        LEASE_TIME
+    }
+}
+
 // Renews the lease. Returns when it has ended or this instance leaves.
 async fn keep_alive(node: &SiteNode, lease: u64) {
     loop {
-        tokio::time::sleep(RENEW_INTERVAL).await;
+        tokio::time::sleep(lease_time(node).mul_f64(RENEW_FRACTION)).await;
         if node.phase() >= Phase::Draining {
             return;
         }
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -20,6 +20,10 @@
 /// Time after which a hub that did not answer is called again.
 const HUB_RETRY_DELAY: Duration = Duration::from_millis(2000);
 
+/// Time without any answer after which a hub that grants no tokens counts as unreachable. Reports come more
+/// often.
+const MAX_SILENCE: Duration = Duration::from_millis(400);
+
 /// Time for which a report counts, except for the demand of another hub.
 const REPORT_TTL: Duration = Duration::from_millis(1100);
 
@@ -54,8 +58,8 @@
     #[must_use]
     pub fn of(node: &SiteNode) -> Self {
         // The recorded number covers instances that are missing from the list.
-        let is_settled = node.fleet.recorded_size() > 0
-            || node.clock.now().since(node.started_at) >= LIST_SETTLE_TIME;
+        let is_settled =
+            node.fleet.recorded_size() > 0 || node.clock.now().since(node.started_at) >= LIST_SETTLE_TIME;
         let view = node.fleet.view();
         let known = view.expected.max(node.fleet.recorded_size());
         let zones = node.settings.regions.len();
@@ -77,6 +81,8 @@
 pub struct Hub {
     state: Mutex<State>,
     retry_at: Mutex<HashMap<InstanceId, Time>>,
+    // When a hub last answered a call of this instance, or was first called.
+    contact_at: Mutex<HashMap<InstanceId, Time>>,
 }
 
 #[derive(Debug, Default)]
@@ -101,7 +107,7 @@
         let now = node.clock.now();
         let retry_at = self.retry_at.lock();
         let view = node.fleet.view();
-        let first = view.hubs(region).find(|i| retry_at.get(&i.id).is_none_or(|at| now >= *at))?;
+        let first = view.hubs(region).find(|i| !is_skipped(&retry_at, &i.id, now))?;
         (first.id != node.incarnation.instance)
             .then(|| PeerAddress { id: first.id.clone(), address: first.peers })
     }
@@ -109,6 +115,27 @@
     /// Skips a hub until the retry delay has passed.
     pub fn mark_unreachable(&self, id: &InstanceId, now: Time) {
         self.retry_at.lock().insert(id.clone(), now + HUB_RETRY_DELAY);
+        self.contact_at.lock().remove(id);
+    }
+
+    /// Returns whether a hub counts as unreachable.
+    #[must_use]
+    pub fn is_unreachable(&self, id: &InstanceId, now: Time) -> bool {
+        is_skipped(&self.retry_at.lock(), id, now)
+    }
+
+    /// Records that a hub answered.
+    pub fn record_contact(&self, id: &InstanceId, now: Time) {
+        self.contact_at.lock().insert(id.clone(), now);
+    }
+
+    /// Records that a hub did not grant tokens in time. A hub that answered other calls lately, or is called
+    /// for the first time, is only busy: leaving it would divide its region's allowances.
+    pub fn record_lost_call(&self, id: &InstanceId, is_not_sent: bool, now: Time) {
+        let contact_at = *self.contact_at.lock().entry(id.clone()).or_insert(now);
+        if is_not_sent || now.since(contact_at) >= MAX_SILENCE {
+            self.mark_unreachable(id, now);
+        }
     }
 
     /// Records a report and returns the answer to it.
@@ -261,6 +288,10 @@
     }
 }
 
+fn is_skipped(retry_at: &HashMap<InstanceId, Time>, id: &InstanceId, now: Time) -> bool {
+    retry_at.get(id).is_some_and(|at| now < *at)
+}
+
 fn total_demand<'a>(reports: impl Iterator<Item = &'a ReceivedReport>, hash: u64) -> f64 {
     let found = reports.flat_map(|r| &r.report.demands).filter(|a| a.hash == hash);
     found.map(|a| f64::from(a.amount)).sum()
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -91,6 +91,7 @@
     };
     match node.peers.report_traffic(&hub, report, REPORT_TIMEOUT).await {
         Ok(answer) => {
+            node.hub.record_contact(&hub.id, node.clock.now());
             node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
             node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
             node.backends.merge_leaving(&answer.leaving, node.clock.now());
@@ -148,10 +149,13 @@
             wanted,
         };
         match node.peers.request_tokens(&hub, request, TOKEN_REQUEST_TIMEOUT).await {
-            Ok(grant) => return grant,
+            Ok(grant) => {
+                node.hub.record_contact(&hub.id, node.clock.now());
+                return grant;
+            }
             Err(e) => {
                 log::info!(hub = hub.id.as_str(); "the hub grants no tokens: {e:?}");
-                node.hub.mark_unreachable(&hub.id, node.clock.now());
+                node.hub.record_lost_call(&hub.id, e.is_not_sent(), node.clock.now());
             }
         }
     }
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -38,6 +38,10 @@
 /// only when the hub alone is cut off.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2500);
 
+/// Age of the store's confirmation up to which a small instance makes no calls of its own. While its hub
+/// answers, an older one means that the store is away, and the larger instances look for it.
+const MAX_SMALL_RELAY_AGE: Duration = Duration::from_secs(4);
+
 /// Maximum time for which a small instance waits for its hub to relay all keys.
 const MAX_SNAPSHOT_WAIT: Duration = Duration::from_millis(1500);
 
@@ -57,7 +61,9 @@
     loop {
         let now = node.clock.now();
         let is_hub = node.hub.hub_of(&node, &node.settings.region).is_none();
-        if !is_hub && node.mirror.is_fresh(now) && node.mirror.revision().is_some() {
+        let max_age = if node.settings.is_small() { MAX_SMALL_RELAY_AGE } else { MAX_RELAY_AGE };
+        let is_fresh = node.mirror.confirmed_at().is_some_and(|at| now.since(at) < max_age);
+        if !is_hub && is_fresh && node.mirror.revision().is_some() {
             tokio::time::sleep(RELAY_POLL_INTERVAL).await;
             continue;
         }
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -58,3 +58,37 @@
         eq(&vec![load])
     );
 }
+
+// Guards against instances that leave a hub which is only busy, as all are after a restart of the whole fleet:
+// each of them then granted from its own small share.
+#[gtest]
+fn hub_that_grants_late_is_left_only_after_a_silence() {
+    let (hub, id) = (Hub::default(), InstanceId::new("hub").unwrap());
+    let at = |ms: u64| Time::from_millis(1000 + ms);
+    hub.record_lost_call(&id, false, at(0));
+    expect_that!(hub.is_unreachable(&id, at(0)), eq(false));
+    hub.record_contact(&id, at(250));
+    hub.record_lost_call(&id, false, at(600));
+    expect_that!(hub.is_unreachable(&id, at(600)), eq(false));
+    hub.record_lost_call(&id, false, at(700));
+    expect_that!(hub.is_unreachable(&id, at(700)), eq(true));
+    // One that refuses connections is gone.
+    let gone = InstanceId::new("gone").unwrap();
+    hub.record_lost_call(&gone, true, at(0));
+    expect_that!(hub.is_unreachable(&gone, at(0)), eq(true));
+}
+
+// With a single report a slow answer may be chance; several agree.
+#[gtest]
+fn slowness_told_by_several_instances_counts_more() {
+    let (hub, own, now) = (Hub::default(), InstanceId::new("hub").unwrap(), Time::from_millis(1000));
+    let slow = HashedAmount { hash: 7, amount: 5.0 };
+    let tell = |sender: &str| {
+        let report = TrafficReport { slowness: vec![slow], ..report(sender, &[slow]) };
+        hub.record_report(&own, report, now).slowness
+    };
+    expect_that!(tell("a"), is_empty());
+    expect_that!(tell("b"), elements_are![eq(&HashedAmount { hash: 7, amount: 3.0 })]);
+    let told = tell("c");
+    expect_that!(told[0].amount, gt(3.5));
+}
--- a/crates/burdock-node/tests/site_fleet.rs
+++ b/crates/burdock-node/tests/site_fleet.rs
@@ -1,6 +1,7 @@
 //! Selects the instances that the directory lists and those that may send to a cold backend server.
 
 use burdock_decide::cold;
+use burdock_decide::entries::{InstanceView, steering_targets};
 use burdock_decide::time::Time;
 use burdock_model::ids::{Incarnation, InstanceId, RegionName, ZoneName};
 use burdock_model::site::RegisteredInstance;
@@ -100,3 +101,22 @@
     let region = RegionName::new("daugavpils").unwrap();
     expect_that!(view.cold_senders(Some(&region)).len(), eq(usize::from(STRONG_PER_ZONE) * 4));
 }
+
+// The operators' large deployment: three instances of half a core and about thirty of a tenth in each zone. With
+// all of them as steering targets, 192 instances kept connections to 889 backend servers, and were told loads.
+#[gtest]
+fn few_large_instances_take_all_callers_of_a_large_fleet() {
+    let large = |zone| InstanceView { zone, capacity_class: 6, cores: 0.5 };
+    let small = |zone| InstanceView { zone, capacity_class: 1, cores: 0.1 };
+    let zones = ["a", "b", "c"];
+    let region: Vec<InstanceView<'_>> = zones
+        .into_iter()
+        .flat_map(|zone| std::iter::repeat_n(large(zone), 3).chain(std::iter::repeat_n(small(zone), 33)))
+        .collect();
+    let targets = steering_targets(&region);
+    expect_that!(targets.len(), eq(9));
+    // The small ones help when two zones have lost their large ones.
+    let reduced: Vec<InstanceView<'_>> =
+        region.into_iter().filter(|i| i.zone == "a" || i.capacity_class == 1).collect();
+    expect_that!(steering_targets(&reduced).len(), eq(3 + 99));
+}
