--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -18,6 +18,16 @@
 /// Rendezvous weight of a backend server in the local region, relative to one in another region.
 const LOCAL_WEIGHT: f64 = 5.0;
 
+/// Size of a route's answers from which its objects stay in their region more, in bytes: what a new connection
+/// carries in its first round trip.
+const SMALL_ANSWER_BYTES: f64 = 16_384.0;
+
+/// Bytes of an answer that add as much to the local weight as one remote backend server weighs.
+const ANSWER_BYTES_PER_WEIGHT: f64 = 8_192.0;
+
+/// Upper bound of the local weight. A region with few backend servers must still pass on work.
+const MAX_LOCAL_WEIGHT: f64 = 15.0;
+
 /// Requests per slot below which a backend server takes objects that do not prefer it. A cold run costs as
 /// much as several warm ones, so only idle slots are spent on it.
 const OTHER_MAX_LOAD_PER_SLOT: f64 = 0.25;
@@ -75,6 +85,8 @@
     pub mean_service_ms: f64,
     /// Maximum load of a backend server, in requests per slot.
     pub max_load_per_slot: f64,
+    /// Rendezvous weight of a backend server in the local region; see [`local_weight`].
+    pub local_weight: f64,
     /// Random number, uniform over all `u64`, that breaks ties.
     pub random: u64,
 }
@@ -102,7 +114,7 @@
 ///     failure_ratio: 0.0, refusal_ratio: 0.0, is_warm: true, is_available: true };
 /// let remote = Candidate { id_hash: 2, is_local: false, round_trip_ms: 100.0, ..local };
 /// let view = PlacementView { candidates: &[local, remote], object: Some(9), warm_service_ms: 50.0,
-///     mean_service_ms: 50.0, max_load_per_slot: 3.0, random: 0 };
+///     mean_service_ms: 50.0, max_load_per_slot: 3.0, local_weight: 5.0, random: 0 };
 /// assert_eq!(place_request(&view).unwrap().ix, 0);
 /// let full = [Candidate { load: 6, ..local }, remote];
 /// assert_eq!(place_request(&PlacementView { candidates: &full, ..view }).unwrap().ix, 1);
@@ -135,6 +147,21 @@
     best.map(|(_, placement)| placement)
 }
 
+/// Returns the rendezvous weight of a backend server in the local region for a route whose answers have
+/// `answer_bytes` in the mean. Load pattern: downloads of which a third travelled between regions, where each
+/// takes several round trips and most of the bytes of all routes.
+///
+/// ```
+/// use burdock_decide::place::local_weight;
+/// assert_eq!(local_weight(5_000.0), local_weight(0.0));
+/// assert!(local_weight(90_000.0) > 2.0 * local_weight(5_000.0));
+/// ```
+#[must_use]
+pub fn local_weight(answer_bytes: f64) -> f64 {
+    let excess = (answer_bytes - SMALL_ANSWER_BYTES).max(0.0);
+    (LOCAL_WEIGHT + excess / ANSWER_BYTES_PER_WEIGHT).min(MAX_LOCAL_WEIGHT)
+}
+
 /// Returns how many requests are admitted at a backend server for each of its slots, by urgency (0 is the
 /// most urgent). The more urgent a request, the longer the queue that it may join.
 #[must_use]
@@ -218,7 +245,7 @@
         };
         let mut preferred: [Option<(f64, usize)>; PREFERRED_PER_OBJECT] = [None; PREFERRED_PER_OBJECT];
         for (ix, candidate) in view.candidates.iter().enumerate().filter(|(_, c)| c.is_available) {
-            let mut next = (rendezvous_score(object, candidate), ix);
+            let mut next = (rendezvous_score(object, candidate, view.local_weight), ix);
             for entry in &mut preferred {
                 match entry {
                     Some(better) if better.0 >= next.0 => {}
@@ -244,10 +271,10 @@
 
 // Weighted rendezvous hashing: a backend server scores highest for a fraction of objects equal to its
 // fraction of the weights.
-fn rendezvous_score(object: u64, candidate: &Candidate) -> f64 {
+fn rendezvous_score(object: u64, candidate: &Candidate, local_weight: f64) -> f64 {
     const STEPS: f64 = (1_u64 << 53) as f64;
     const UNUSED_BITS: u32 = 11;
-    let weight = if candidate.is_local { LOCAL_WEIGHT } else { 1.0 };
+    let weight = if candidate.is_local { local_weight } else { 1.0 };
     let uniform = ((mix(object ^ candidate.id_hash) >> UNUSED_BITS) as f64 + 0.5) / STEPS;
     -weight / uniform.ln()
 }
--- a/crates/burdock-decide/tests/place.rs
+++ b/crates/burdock-decide/tests/place.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use burdock_decide::place::{Candidate, PlacementView, max_load_per_slot, place_request};
+use burdock_decide::place::{Candidate, PlacementView, local_weight, max_load_per_slot, place_request};
 use burdock_model::hash::stable_hash;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -103,6 +103,7 @@
             warm_service_ms: WARM_MS,
             mean_service_ms: WARM_MS,
             max_load_per_slot: max_load_per_slot(2),
+            local_weight: local_weight(0.0),
             random,
         };
         outcome.sent += 1;
@@ -188,6 +189,7 @@
         warm_service_ms: 100.0,
         mean_service_ms: 100.0,
         max_load_per_slot: 1.5,
+        local_weight: local_weight(0.0),
         random: 0,
     }
 }
@@ -298,3 +300,40 @@
     }
     expect_that!(ratio(warm, sent), ge(0.7));
 }
+
+// Downloads of 90 KB in the mean: each that leaves its region takes several round trips more, and they were most of
+// the bytes between regions.
+#[gtest]
+fn objects_with_large_answers_stay_in_their_region_more_often() {
+    const OBJECT_COUNT: u64 = 2000;
+    let candidate = |ix: u64| Candidate {
+        id_hash: stable_hash(&ix.to_le_bytes(), 31),
+        is_local: ix < 4,
+        round_trip_ms: if ix < 4 { 1.0 } else { REMOTE_ROUND_TRIP_MS },
+        slots: 6,
+        load: 0,
+        slowness: 1.0,
+        failure_ratio: 0.0,
+        refusal_ratio: 0.0,
+        is_warm: false,
+        is_available: true,
+    };
+    let candidates: Vec<Candidate> = (0..12).map(candidate).collect();
+    let remote_share = |answer_bytes: f64| {
+        let is_remote = |object: &u64| {
+            let view = PlacementView {
+                candidates: &candidates,
+                object: Some(stable_hash(&object.to_le_bytes(), 7)),
+                warm_service_ms: 2000.0,
+                mean_service_ms: 2000.0,
+                max_load_per_slot: 1.5,
+                local_weight: local_weight(answer_bytes),
+                random: 0,
+            };
+            place_request(&view).is_some_and(|placement| !candidates[placement.ix].is_local)
+        };
+        (0..OBJECT_COUNT).filter(is_remote).count() as f64 / OBJECT_COUNT as f64
+    };
+    expect_that!(remote_share(5_000.0), eq(remote_share(0.0)));
+    expect_that!(remote_share(90_000.0), lt(remote_share(5_000.0) * 0.6));
+}
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -13,6 +13,7 @@
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderMap, Response, StatusCode};
+use http_body::Body;
 use hyper::body::Incoming;
 
 use crate::forward::body::RequestBody;
@@ -246,6 +247,9 @@
             }
         };
         let is_server_error = parts.status.is_server_error();
+        if let Some(bytes) = body.size_hint().exact().filter(|_| parts.status.is_success()) {
+            self.node.record_answer_bytes(self.outbound.route, bytes);
+        }
         self.record_answer(sent_at, is_server_error);
         let mut resp = Response::from_parts(parts, body);
         for name in HOP_BY_HOP {
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -100,6 +100,7 @@
     retry_budgets: Sharded<HashMap<ServiceName, RetryBudget>>,
     target_rotations: Sharded<HashMap<RouteName, WeightedRoundRobin>>,
     service_times: Sharded<HashMap<RouteName, WarmServiceTime>>,
+    answer_sizes: Sharded<HashMap<RouteName, f64>>,
     max_time_limits: Sharded<HashMap<RouteName, Duration>>,
     phase: PhaseCell,
     in_flight: AtomicUsize,
@@ -140,6 +141,9 @@
 /// Fraction of a route's latency target that its service time is estimated at before any was measured.
 const INITIAL_SERVICE_TIME_FRACTION: f64 = 0.35;
 
+/// Weight of a new answer in the mean size of a route's answers.
+const ANSWER_SIZE_SMOOTHING: f64 = 1.0 / 16.0;
+
 /// Fraction of its share of the fleet's retry bounds that an instance uses. The rest covers instances whose
 /// views of the fleet's size differ.
 const RETRY_BUDGET_FRACTION: f64 = 0.6;
@@ -171,6 +175,7 @@
             retry_budgets: Sharded::default(),
             target_rotations: Sharded::default(),
             service_times: Sharded::default(),
+            answer_sizes: Sharded::default(),
             max_time_limits: Sharded::default(),
             phase: PhaseCell::default(),
             in_flight: AtomicUsize::new(0),
@@ -240,6 +245,21 @@
         time.estimate_ms += (measured_ms - time.estimate_ms) / divisor;
     }
 
+    /// Returns the mean size of a route's answers in bytes; 0 before the first.
+    #[must_use]
+    pub fn mean_answer_bytes(&self, route: &Route) -> f64 {
+        let shard = self.answer_sizes.lock(name_hash(route.name.as_str()));
+        shard.get(&route.name).copied().unwrap_or(0.0)
+    }
+
+    /// Updates the mean size of a route's answers.
+    pub fn record_answer_bytes(&self, route: &Route, bytes: u64) {
+        let mut shard = self.answer_sizes.lock(name_hash(route.name.as_str()));
+        // Begins at zero, so that a few answers move no objects to other backend servers.
+        let mean = shard.entry(route.name.clone()).or_default();
+        *mean += (bytes as f64 - *mean) * ANSWER_SIZE_SMOOTHING;
+    }
+
     /// Returns how long a caller has waited in earlier attempts: the longest time limit that a request of the
     /// route had on arrival, less that of this request.
     #[must_use]
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use burdock_decide::cold;
-use burdock_decide::place::{Placement, PlacementView, max_load_per_slot, place_request};
+use burdock_decide::place::{Placement, PlacementView, local_weight, max_load_per_slot, place_request};
 use burdock_decide::quarantine::{QUARANTINE_TIME, QuarantineDecision, SHARED_STRIKES_TO_REFUSE};
 use burdock_decide::retry::{RetryView, may_retry};
 use burdock_decide::time::Time;
@@ -214,6 +214,7 @@
             mean_service_ms: service_ms,
             max_load_per_slot: max_load_per_slot(outbound.urgency)
                 + if outbound.earlier_wait.is_zero() { 0.0 } else { RETURNING_CALLER_LOAD_PER_SLOT },
+            local_weight: local_weight(node.mean_answer_bytes(outbound.route)),
             random: rand::random(),
         };
         let placement = place_request(&view)?;
