Relay plain changes to instances of an earlier version

Change: an asker says that it accepts packed changes; others get plain ones, or an incomplete delta, on which they read the store themselves. Between instances of this version nothing differs. Test: instance_of_an_earlier_version_gets_plain_changes. Not run: builds of two versions beside each other.

--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -152,9 +152,9 @@
     }
 
     /// Returns the changes after a revision, for an instance that is at that revision, or all keys if some
-    /// deletions since then are no longer known.
+    /// deletions since then are no longer known. One that does not accept packed changes gets plain ones.
     #[must_use]
-    pub fn changes_since(&self, revision: u64, now: Time) -> StoreDelta {
+    pub fn changes_since(&self, revision: u64, accepts_packed: bool, now: Time) -> StoreDelta {
         let mut state = self.state.lock();
         let age_ms = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX - 1);
         let delta = StoreDelta {
@@ -166,6 +166,9 @@
         if !delta.is_complete || revision >= delta.revision {
             return delta;
         }
+        if revision < state.deletions_from && !accepts_packed {
+            return StoreDelta { is_complete: false, ..delta };
+        }
         if revision < state.deletions_from {
             let snapshot = state.snapshot(delta.revision, now);
             return StoreDelta {
@@ -177,7 +180,7 @@
             };
         }
         let newer = || state.changes.range((revision + 1, Arc::from(""))..).map(|(_, record)| record);
-        if newer().map(record_bytes).sum::<usize>() < PACK_THRESHOLD_BYTES {
+        if !accepts_packed || newer().map(record_bytes).sum::<usize>() < PACK_THRESHOLD_BYTES {
             return StoreDelta { changes: newer().cloned().collect(), ..delta };
         }
         let known = state.packed_since.get(&revision).cloned();
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -36,10 +36,11 @@
     Handlers {
         report_traffic: handler(node, |node, report: TrafficReport| {
             let (now, revision) = (node.clock.now(), report.store.revision);
+            let accepts_packed = report.store.accepts_packed;
             node.quarantine.merge_strikes(&report.strikes, now);
             node.backends.merge_leaving(&report.leaving, now);
             let mut answer = node.hub.record_report(&node.incarnation.instance, report, now);
-            answer.store = node.mirror.changes_since(revision, now);
+            answer.store = node.mirror.changes_since(revision, accepts_packed, now);
             answer.strikes = node.quarantine.recent_strikes(now);
             answer.leaving = node.backends.recently_leaving(now);
             Ok(answer)
@@ -80,7 +81,11 @@
         demands: node.allowances.demands(now),
         in_flight: node.backends.in_flight(),
         is_from_hub: false,
-        store: StoreDelta { revision: node.mirror.revision().unwrap_or(0), ..StoreDelta::default() },
+        store: StoreDelta {
+            revision: node.mirror.revision().unwrap_or(0),
+            accepts_packed: true,
+            ..StoreDelta::default()
+        },
         strikes: node.quarantine.recent_strikes(now),
         leaving: node.backends.recently_leaving(now),
         slowness: node.backends.slowness(now),
@@ -126,6 +131,7 @@
             let mut summary = node.hub.summary(&node.incarnation.instance, now);
             let from = node.mirror.revision().unwrap_or(0);
             summary.store.revision = from;
+            summary.store.accepts_packed = true;
             summary.strikes = node.quarantine.recent_strikes(now);
             summary.leaving = node.backends.recently_leaving(now);
             match node.peers.report_traffic(&hub, summary, REPORT_TIMEOUT).await {
--- a/crates/burdock-node/tests/mirror.rs
+++ b/crates/burdock-node/tests/mirror.rs
@@ -48,14 +48,14 @@
     let mirror = mirror_at(5);
     apply_changes(&mirror, 5, vec![record("a", b"1", 6)], 6);
     let now = Time::from_millis(2300);
-    let delta = mirror.changes_since(5, now);
+    let delta = mirror.changes_since(5, true, now);
     expect_that!((delta.is_complete, delta.changes.len(), delta.revision), eq((true, 1, 6)));
     expect_that!(delta.confirmed_age_ms, some(eq(300)));
-    let snapshot = mirror.changes_since(4, now);
+    let snapshot = mirror.changes_since(4, true, now);
     expect_that!((snapshot.is_complete, snapshot.is_snapshot, snapshot.revision), eq((true, true, 6)));
     expect_that!(unpack_records(snapshot).unwrap().records, eq(&vec![record("a", b"1", 6)]));
-    expect_that!(StoreMirror::default().changes_since(0, now).is_complete, eq(false));
-    expect_that!(mirror.changes_since(6, now).changes.len(), eq(0));
+    expect_that!(StoreMirror::default().changes_since(0, true, now).is_complete, eq(false));
+    expect_that!(mirror.changes_since(6, true, now).changes.len(), eq(0));
 }
 
 // Guards against a large configuration that arrives too late: one of 1,500 routes went to thirty instances
@@ -65,7 +65,7 @@
     let mirror = mirror_at(5);
     let large = "{\"route\":\"name-of-a-route\"}".repeat(10_000).into_bytes();
     apply_changes(&mirror, 5, vec![record("a", &large, 6), Record { value: None, ..record("b", b"", 7) }], 7);
-    let delta = mirror.changes_since(5, Time::from_millis(2000));
+    let delta = mirror.changes_since(5, true, Time::from_millis(2000));
     expect_that!(delta.packed_changes.as_ref().map_or(0, |p| p.len()), all!(gt(0), lt(large.len() / 10)));
     let records = unpack_records(delta).unwrap().records;
     expect_that!(records[0].value.as_deref(), some(eq(large.as_slice())));
@@ -79,7 +79,7 @@
         apply_changes(&mirror, revision - 1, vec![record("a", b"1", revision)], revision);
     }
     for from in [0, 1990, 1999] {
-        let delta = mirror.changes_since(from, Time::from_millis(2000));
+        let delta = mirror.changes_since(from, true, Time::from_millis(2000));
         expect_that!((delta.is_complete, delta.is_snapshot), eq((true, false)));
         expect_that!(unpack_records(delta).unwrap().records, eq(&vec![record("a", b"1", 2000)]));
     }
@@ -94,10 +94,10 @@
         apply_changes(&mirror, revision - 1, vec![deleted], revision);
     }
     let now = Time::from_millis(2000);
-    let delta = mirror.changes_since(1400, now);
+    let delta = mirror.changes_since(1400, true, now);
     expect_that!(delta.is_snapshot, eq(false));
     expect_that!(unpack_records(delta).unwrap().records.len(), eq(100));
-    let snapshot = mirror.changes_since(10, now);
+    let snapshot = mirror.changes_since(10, true, now);
     expect_that!(snapshot.is_snapshot, eq(true));
     expect_that!(unpack_records(snapshot).unwrap().records, eq(&vec![record("stays", b"1", 1)]));
 }
@@ -119,3 +119,20 @@
         eq(false)
     );
 }
+
+// An instance of the version before reads neither packed changes nor snapshots, and would take their absence for
+// no changes.
+#[gtest]
+fn instance_of_an_earlier_version_gets_plain_changes() {
+    let mirror = mirror_at(5);
+    let large = "{\"route\":\"name-of-a-route\"}".repeat(1000).into_bytes();
+    apply_changes(&mirror, 5, vec![record("a", &large, 6)], 6);
+    let now = Time::from_millis(2000);
+    let delta = mirror.changes_since(5, false, now);
+    expect_that!(
+        (delta.is_complete, delta.changes.len(), delta.packed_changes.is_none()),
+        eq((true, 1, true))
+    );
+    let too_old = mirror.changes_since(4, false, now);
+    expect_that!((too_old.is_complete, too_old.is_snapshot), eq((false, false)));
+}
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -190,6 +190,8 @@
   snapshot @13 :Bool;
   # Sum of the weights of the instances that it speaks for.
   weight @14 :UInt32;
+  # The sender understands `packedChanges` and `snapshot` in the answer.
+  acceptsPacked @15 :Bool;
 }
 
 struct StoreRecords {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -248,6 +248,7 @@
     to.set_complete(report.store.is_complete);
     to.set_store_age_ms(report.store.confirmed_age_ms.unwrap_or(UNKNOWN_AGE_MS));
     to.set_snapshot(report.store.is_snapshot);
+    to.set_accepts_packed(report.store.accepts_packed);
     if let Some(packed) = &report.store.packed_changes {
         to.set_packed_changes(packed);
     }
@@ -297,6 +298,7 @@
             packed_changes: Some(from.get_packed_changes()?).filter(|p| !p.is_empty()).map(Arc::from),
             is_complete: from.get_complete(),
             is_snapshot: from.get_snapshot(),
+            accepts_packed: from.get_accepts_packed(),
             confirmed_age_ms: Some(from.get_store_age_ms()).filter(|age| *age != UNKNOWN_AGE_MS),
         },
         strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -117,6 +117,8 @@
     pub is_complete: bool,
     /// Whether the changes are all keys of the store instead, so that a key that is not among them is gone.
     pub is_snapshot: bool,
+    /// Whether the sender understands packed changes and snapshots in the answer. Earlier versions don't.
+    pub accepts_packed: bool,
     /// Milliseconds since the store last confirmed `revision`; `None` if it never did.
     pub confirmed_age_ms: Option<u32>,
 }
