Keep the lowest recent share through a cut, not that of a moment

Change: a hub that loses sight of an instance goes on with its lowest share of the last two seconds.

--- a/crates/burdock-decide/src/apportion.rs
+++ b/crates/burdock-decide/src/apportion.rs
@@ -10,8 +10,13 @@
 //! Even shares are by capacity, since callers are steered to the largest instances: load pattern of a fleet of
 //! a few large and many small instances that all restart, whose callers come back before everyone reports.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use burdock_model::hash::rendezvous_order;
 
+use crate::time::Time;
+
 /// Share that is divided by the weights of instances regardless of demand, so that a first request finds some
 /// allowance.
 const EVEN_SHARE: f64 = 0.1;
@@ -33,7 +38,7 @@
     pub expected_instances: f64,
     /// Whether this hub has known the list of instances for long enough to trust that it is complete.
     pub list_is_settled: bool,
-    /// What this hub distributed when it last saw all instances.
+    /// What this hub distributed when it last saw all instances; see [`RecentShares`].
     pub last_distributed: Option<DistributedShare>,
 }
 
@@ -46,6 +51,56 @@
     pub weight: f64,
 }
 
+/// Shares that a hub distributed lately while it saw all instances.
+///
+/// Hubs learn each other's demand late, so while demand rises their shares add up to more than the whole for a
+/// moment. A hub that then loses sight of an instance must not go on with such a share, so the lowest one of a
+/// time that covers the delay counts.
+#[derive(Clone, Debug, Default)]
+pub struct RecentShares {
+    // One entry for each interval, with the lowest share in it.
+    shares: VecDeque<(Time, f64)>,
+    weight: f64,
+}
+
+/// Time over which the lowest share counts, several times as long as a report takes to reach another region.
+const RECENT_SHARES_WINDOW: Duration = Duration::from_millis(2000);
+
+/// Interval in which shares are merged.
+const RECENT_SHARES_INTERVAL: Duration = Duration::from_millis(200);
+
+impl RecentShares {
+    /// Records a share that the hub distributes to instances of a weight.
+    pub fn record(&mut self, share: DistributedShare, now: Time) {
+        self.weight = share.weight;
+        match self.shares.back_mut() {
+            Some((at, lowest)) if now.since(*at) < RECENT_SHARES_INTERVAL => {
+                *lowest = lowest.min(share.share)
+            }
+            _ => self.shares.push_back((now, share.share)),
+        }
+        while self.shares.front().is_some_and(|(at, _)| now.since(*at) > RECENT_SHARES_WINDOW) {
+            self.shares.pop_front();
+        }
+    }
+
+    /// Returns the lowest share of the time before the last record.
+    ///
+    /// ```
+    /// use burdock_decide::apportion::{DistributedShare, RecentShares};
+    /// use burdock_decide::time::Time;
+    /// let mut recent = RecentShares::default();
+    /// recent.record(DistributedShare { share: 0.3, weight: 9.0 }, Time::from_millis(1000));
+    /// recent.record(DistributedShare { share: 0.8, weight: 9.0 }, Time::from_millis(1500));
+    /// assert_eq!(recent.lowest(), Some(DistributedShare { share: 0.3, weight: 9.0 }));
+    /// ```
+    #[must_use]
+    pub fn lowest(&self) -> Option<DistributedShare> {
+        let share = self.shares.iter().map(|(_, share)| *share).reduce(f64::min)?;
+        Some(DistributedShare { share, weight: self.weight })
+    }
+}
+
 /// Returns the share of the whole allowance that this hub distributes, from 0 to 1.
 ///
 /// ```
--- a/crates/burdock-decide/tests/apportion.rs
+++ b/crates/burdock-decide/tests/apportion.rs
@@ -1,6 +1,9 @@
 //! Shares of an allowance that hubs distribute while their views of the fleet differ.
 
-use burdock_decide::apportion::{ApportionView, DistributedShare, hub_share, sees_all_instances};
+use burdock_decide::apportion::{
+    ApportionView, DistributedShare, RecentShares, hub_share, sees_all_instances,
+};
+use burdock_decide::time::Time;
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -176,3 +179,34 @@
     };
     expect_that!(hub_share(&alone), eq(0.0));
 }
+
+// Traffic begins a second before instances are cut off (day scale-2 of the operators' large deployment, seed
+// 262209253447, check QUOTA). Each hub knows its own demand at once and the others' 750 ms later, so that for the
+// moment all three take themselves for the busiest.
+#[gtest]
+fn shares_kept_through_a_cut_add_up_to_the_whole_while_demand_rises() {
+    const DELAY_MS: u64 = 750;
+    const CUT_AT_MS: u64 = 1000;
+    const WEIGHT: f64 = 9.0;
+    let demand = |hub: u64, ms: u64| if ms >= 10_000 { (ms - 10_000) as f64 * (hub + 1) as f64 } else { 0.0 };
+    let share_in_cut = |hub: u64| {
+        let mut recent = RecentShares::default();
+        for ms in (8_000..10_000 + CUT_AT_MS).step_by(50) {
+            let others: f64 =
+                (0..3).filter(|other| *other != hub).map(|other| demand(other, ms - DELAY_MS)).sum();
+            let share = hub_share(&ApportionView {
+                own_demand: demand(hub, ms),
+                total_demand: demand(hub, ms) + others,
+                own_weight: WEIGHT,
+                expected_weight: 3.0 * WEIGHT,
+                reporting_instances: 27.0,
+                expected_instances: 27.0,
+                list_is_settled: true,
+                last_distributed: None,
+            });
+            recent.record(DistributedShare { share, weight: WEIGHT }, Time::from_millis(ms));
+        }
+        recent.lowest().unwrap().share
+    };
+    expect_that!((0..3).map(share_in_cut).sum::<f64>(), le(1.0 + 1e-9));
+}
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -7,7 +7,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use burdock_decide::apportion::{ApportionView, DistributedShare, hub_share, sees_all_instances};
+use burdock_decide::apportion::{
+    ApportionView, DistributedShare, RecentShares, hub_share, sees_all_instances,
+};
 use burdock_decide::limit::{Allotment, Bucket, TOKEN};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
@@ -91,8 +93,8 @@
     reporters: HashMap<InstanceId, ReceivedReport>,
     hubs: HashMap<InstanceId, ReceivedReport>,
     buckets: HashMap<u64, Bucket>,
-    // The share of each organisation's allowance distributed when all instances were last reporting.
-    distributed: HashMap<u64, DistributedShare>,
+    // The shares of each organisation's allowance distributed when all instances were last reporting.
+    distributed: HashMap<u64, RecentShares>,
 }
 
 #[derive(Debug)]
@@ -242,11 +244,12 @@
             reporting_instances: own_instances + f64::from(others),
             expected_instances: fleet_size.expected as f64,
             list_is_settled: fleet_size.is_settled,
-            last_distributed: self.distributed.get(&hash).copied(),
+            last_distributed: self.distributed.get(&hash).and_then(RecentShares::lowest),
         };
         let own_share = hub_share(&view);
         if sees_all_instances(&view) {
-            self.distributed.insert(hash, DistributedShare { share: own_share, weight: own_weight });
+            let distributed = DistributedShare { share: own_share, weight: own_weight };
+            self.distributed.entry(hash).or_default().record(distributed, now);
         }
         let allotment = allotment(organisation, own_share);
         let bucket =
