--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -113,10 +113,22 @@
             },
             "/-/kv-range" => {
                 let (prefix, after) = (field("path_prefix"), field("after"));
-                let keys = state.items.keys().filter(|k| k.starts_with(&prefix) && **k > after);
-                let keys: Vec<String> = keys.take(501).cloned().collect();
-                let page: Vec<String> = keys.iter().take(500).filter_map(|k| state.item(k)).collect();
-                let (more, revision) = (keys.len() > 500, state.revision);
+                let mut page = Vec::new();
+                let mut bytes = 0;
+                let mut more = false;
+                for (key, item) in &state.items {
+                    if !key.starts_with(&prefix) || *key <= after {
+                        continue;
+                    }
+                    // A page has at most 500 items or about 1 MB.
+                    if page.len() == 500 || bytes > 1_000_000 {
+                        more = true;
+                        break;
+                    }
+                    bytes += item.json.len();
+                    page.push(item.json.clone());
+                }
+                let revision = state.revision;
                 let items = page.join(",");
                 (200, format!("{{\"items\":[{items}],\"has_more\":{more},\"store_revision\":{revision}}}"))
             }
