--- a/crates/burdock-ctl/src/print.rs
+++ b/crates/burdock-ctl/src/print.rs
@@ -8,8 +8,18 @@
 const FLEET_COLUMNS: [&str; 6] = ["instance", "region", "zone", "standing", "revision", "load_per_mille"];
 
 /// Fields of the instance in the output of `status`.
-const STATUS_FIELDS: [&str; 7] =
-    ["instance", "phase", "revision", "connectivity", "may_accept_changes", "in_flight", "client_blocks"];
+const STATUS_FIELDS: [&str; 10] = [
+    "instance",
+    "phase",
+    "revision",
+    "config_age_s",
+    "config_missing",
+    "config_rejected",
+    "connectivity",
+    "may_accept_changes",
+    "in_flight",
+    "client_blocks",
+];
 
 /// Columns of the tables of backend servers in the output of `status`.
 const BACKEND_COLUMNS: [&str; 5] = ["id", "open", "in_flight_from_here", "reported_in_flight", "connections"];
--- a/crates/burdock-node/src/site/directory.rs
+++ b/crates/burdock-node/src/site/directory.rs
@@ -37,11 +37,7 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let path = req.uri().path();
     if path == node.dialect.ready_path {
-        return Ok(status(if node.phase() == Phase::Ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        }));
+        return Ok(readiness(&node));
     }
     if path != node.dialect.directory_path {
         return Ok(status(StatusCode::NOT_FOUND));
@@ -67,6 +63,19 @@
     local.iter().chain(&more).map(|i| i.callers).take(MAX_ADDRESSES).collect()
 }
 
+fn readiness(node: &SiteNode) -> Response<ResponseBody> {
+    if node.phase() == Phase::Ready {
+        return status(StatusCode::OK);
+    }
+    let reason = match node.phase() {
+        Phase::Starting => node.missing_config_reason(),
+        phase => format!("this instance is in phase {phase:?}"),
+    };
+    let mut resp = Response::new(ResponseBody::buffered(reason + "\n"));
+    *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    resp
+}
+
 fn status(status: StatusCode) -> Response<ResponseBody> {
     let mut resp = Response::new(ResponseBody::buffered(""));
     *resp.status_mut() = status;
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -85,12 +85,7 @@
     arrived_at: Time,
 ) -> Result<Outbound<'a>, RequestFailure> {
     if !config.is_published() {
-        let rejected = node.rejected_config.load();
-        let detail = rejected.as_ref().map_or_else(
-            || "no configuration is known yet".to_owned(),
-            |r| format!("no valid configuration is known: that of revision {} was rejected", r.revision),
-        );
-        return Err(failure(ErrorKind::NoBackend, &detail, Some(STARTING_RETRY_AFTER)));
+        return Err(failure(ErrorKind::NoBackend, &node.missing_config_reason(), Some(STARTING_RETRY_AFTER)));
     }
     if node.phase() >= Phase::Finishing {
         return Err(failure(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -10,19 +10,27 @@
 
 use crate::observe::counters::Counter;
 use crate::observe::line_writer;
-use crate::site::SiteNode;
 use crate::site::body::ResponseBody;
+use crate::site::{SiteNode, status};
 
-/// Answers any path with all metrics.
+/// Path of the instance's status, as on the administration API of the project's own interface.
+const STATUS_PATH: &str = "/v1/status";
+
+/// Answers [`STATUS_PATH`] with the instance's status as JSON and any other path with all metrics.
 ///
 /// # Errors
 /// Never.
 pub async fn handle(
     node: Arc<SiteNode>,
-    _req: Request<Incoming>,
+    req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let mut resp = Response::new(ResponseBody::buffered(text(&node)));
-    resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; version=0.0.4"));
+    let (body, content_type) = if req.uri().path() == STATUS_PATH {
+        (status::status(&node).to_string(), "application/json")
+    } else {
+        (text(&node), "text/plain; version=0.0.4")
+    };
+    let mut resp = Response::new(ResponseBody::buffered(body));
+    resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     Ok(resp)
 }
 
@@ -39,6 +47,7 @@
     let store_age = node.mirror.confirmed_at().map_or(-1.0, |at| now.since(at).as_secs_f64());
     let gauges = [
         ("config_version", node.config.load().published.version as f64),
+        ("config_age_s", node.config_age(now).map_or(-1.0, |age| age.as_secs_f64())),
         ("config_rejected_revision", node.rejected_config.load().as_ref().map_or(0, |r| r.revision) as f64),
         ("answer_memory_free_bytes", node.answer_memory.free_bytes() as f64),
         ("requests_in_flight", node.in_flight() as f64),
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -21,6 +21,7 @@
 pub mod send;
 pub mod serve;
 pub mod start;
+pub mod status;
 pub mod sync;
 pub mod table;
 
@@ -105,6 +106,7 @@
     phase: PhaseCell,
     in_flight: AtomicUsize,
     last_request_at: AtomicU64,
+    config_installed_at: AtomicU64,
 }
 
 /// Configuration that was rejected.
@@ -180,6 +182,7 @@
             phase: PhaseCell::default(),
             in_flight: AtomicUsize::new(0),
             last_request_at: AtomicU64::new(0),
+            config_installed_at: AtomicU64::new(0),
             settings,
         }
     }
@@ -197,6 +200,32 @@
         }
     }
 
+    /// Puts a configuration in force.
+    pub fn install_config(&self, config: SiteConfigIndex, now: Time) {
+        self.config.store(Arc::new(config));
+        self.rejected_config.store(None);
+        self.config_installed_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Returns how long the configuration has been in force, `None` if there is none.
+    #[must_use]
+    pub fn config_age(&self, now: Time) -> Option<Duration> {
+        let installed_at = Time(self.config_installed_at.load(Ordering::Relaxed));
+        self.config.load().is_published().then(|| now.since(installed_at))
+    }
+
+    /// Returns why no configuration is in force, for an instance that has none.
+    #[must_use]
+    pub fn missing_config_reason(&self) -> String {
+        self.rejected_config.load().as_ref().map_or_else(
+            || "no configuration is known yet".to_owned(),
+            |r| {
+                let (revision, reason) = (r.revision, &r.reason);
+                format!("no valid configuration is known: that of revision {revision} was rejected: {reason}")
+            },
+        )
+    }
+
     /// Returns the number of callers' requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- /dev/null
+++ b/crates/burdock-node/src/site/status.rs
@@ -0,0 +1,35 @@
+//! Status of an instance on the platform, for `burdockctl status`.
+
+use serde_json::{Value, json};
+
+use crate::phase::Phase;
+use crate::site::SiteNode;
+
+/// Returns the status of the instance, with the reason if no configuration is in force or the newest one was
+/// rejected. Its fields are those of the project's own interface where both have them.
+#[must_use]
+pub fn status(node: &SiteNode) -> Value {
+    let now = node.clock.now();
+    let rejected = node.rejected_config.load();
+    let view = node.fleet.view();
+    json!({
+        "instance": node.incarnation.to_string(),
+        "region": node.settings.region,
+        "zone": node.settings.zone,
+        "phase": format!("{:?}", node.phase()),
+        "revision": node.config.load().published.version,
+        "config_age_s": node.config_age(now).map(|age| age.as_secs_f64()),
+        "config_missing": (node.phase() == Phase::Starting).then(|| node.missing_config_reason()),
+        "config_rejected": rejected.as_ref().map(|r| json!({
+            "revision": r.revision,
+            "reason": r.reason.to_string(),
+        })),
+        "store_age_s": node.mirror.confirmed_at().map(|at| now.since(at).as_secs_f64()),
+        "in_flight": node.in_flight(),
+        "fleet": view.listed.iter().map(|i| json!({
+            "instance": i.id,
+            "region": i.region,
+            "zone": i.zone,
+        })).collect::<Vec<_>>(),
+    })
+}
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -255,8 +255,7 @@
             }
             log::info!(version = new.version, before = current, revision = record.revision; "configuration in force");
             node.counters.add(Counter::Installs);
-            node.config.store(Arc::new(SiteConfigIndex::new(new)));
-            node.rejected_config.store(None);
+            node.install_config(SiteConfigIndex::new(new), now);
         }
         SiteChange::Backend(id, entry) => {
             node.backends.apply_entry(&config, &id, entry.as_ref(), record.revision, now);
--- a/crates/burdock-node/tests/site_odd_entries.rs
+++ b/crates/burdock-node/tests/site_odd_entries.rs
@@ -153,6 +153,8 @@
         contains_substring("teleport")
     );
     expect_that!(site.readiness_status(0).await, eq(503));
+    let status = burdock_node::site::status::status(node);
+    expect_that!(status["config_missing"].as_str().unwrap(), contains_substring("unknown kind `teleport`"));
     // One that has another keeps it.
     SampleConfig::new(2).publish(&site.store);
     site.wait_until(async || site.config_versions() == [2]).await;
@@ -163,6 +165,13 @@
     expect_that!(site.config_versions(), eq(&vec![2]));
     let metrics = burdock_node::site::metrics::text(node);
     expect_that!(metrics, not(contains_substring("burdock_config_rejected_revision 0\n")));
+    expect_that!(metrics, not(contains_substring("burdock_config_age_s -1\n")));
+    let status = burdock_node::site::status::status(node);
+    expect_that!(status["revision"].as_u64(), some(eq(2)));
+    expect_that!(
+        status["config_rejected"]["reason"].as_str().unwrap(),
+        contains_substring("unknown kind `teleport`")
+    );
 }
 
 // A task that an instance depends on is started again when it ends by a panic.
