Add demand, splits, paces and refusals to traffic reports

Cause: reports carry nothing about the demand of a region, the pace of backend servers or refusals, which a plan between regions and admission need.

Change: four fields in the schema and in `TrafficReport`, empty until used; older instances ignore them. `TrafficReport::new` spares callers the empty lists.

--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -14,7 +14,7 @@
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, allowance_weight};
-use burdock_wire::messages::{HashedAmount, PeerAddress, StoreDelta, TokenGrant, TrafficReport};
+use burdock_wire::messages::{HashedAmount, PeerAddress, TokenGrant, TrafficReport};
 use parking_lot::Mutex;
 
 use crate::site::{SiteNode, name_hash, report};
@@ -163,18 +163,7 @@
         let remote_in_flight =
             if places_requests { to_amounts(&state.in_flight(Some(&sender), now)) } else { Vec::new() };
         let slowness = if places_requests { state.slowness(Some(&sender), now) } else { Vec::new() };
-        TrafficReport {
-            sender: own.clone(),
-            instance_count: 0,
-            weight: 0,
-            demands: Vec::new(),
-            in_flight: remote_in_flight,
-            is_from_hub: false,
-            store: StoreDelta::default(),
-            strikes: Vec::new(),
-            leaving: Vec::new(),
-            slowness,
-        }
+        TrafficReport { in_flight: remote_in_flight, slowness, ..TrafficReport::new(own.clone()) }
     }
 
     /// Records another hub's answer to this hub's summary.
@@ -276,16 +265,13 @@
             add_amounts(&mut in_flight, &received.report.in_flight);
         }
         TrafficReport {
-            sender: own.clone(),
             instance_count: self.reporters.values().map(|r| r.report.instance_count).sum(),
             weight: self.reporters.values().map(|r| r.report.weight).sum(),
             demands: to_amounts(&demands),
             in_flight: to_amounts(&in_flight),
             is_from_hub: true,
-            store: StoreDelta::default(),
-            strikes: Vec::new(),
-            leaving: Vec::new(),
             slowness: self.slowness(None, now),
+            ..TrafficReport::new(own.clone())
         }
     }
 
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -78,12 +78,10 @@
     let config = node.config.load();
     node.hub.refresh(&config.published.organisations, FleetSize::of(node), now);
     let report = TrafficReport {
-        sender: node.incarnation.instance.clone(),
         instance_count: u32::from(node.fleet.is_registered()),
         weight: own_weight(node),
         demands: node.allowances.demands(now),
         in_flight: node.backends.in_flight(),
-        is_from_hub: false,
         store: StoreDelta {
             revision: node.mirror.revision().unwrap_or(0),
             accepts_packed: true,
@@ -92,6 +90,7 @@
         strikes: node.quarantine.recent_strikes(now),
         leaving: node.backends.recently_leaving(now),
         slowness: node.backends.slowness(now),
+        ..TrafficReport::new(node.incarnation.instance.clone())
     };
     let from = report.store.revision;
     let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -4,7 +4,7 @@
 use burdock_model::ids::{InstanceId, OrganisationName};
 use burdock_model::site::Organisation;
 use burdock_node::site::hub::{FleetSize, Hub};
-use burdock_wire::messages::{HashedAmount, StoreDelta, TrafficReport};
+use burdock_wire::messages::{HashedAmount, TrafficReport};
 use googletest::prelude::*;
 
 // Instances that lose their hub ask the next one or grant from their own share. If those buckets filled while
@@ -32,16 +32,10 @@
 
 fn report(sender: &str, in_flight: &[HashedAmount]) -> TrafficReport {
     TrafficReport {
-        sender: InstanceId::new(sender).unwrap(),
         instance_count: 1,
         weight: 1,
-        demands: Vec::new(),
         in_flight: in_flight.to_vec(),
-        is_from_hub: false,
-        store: StoreDelta::default(),
-        strikes: Vec::new(),
-        leaving: Vec::new(),
-        slowness: Vec::new(),
+        ..TrafficReport::new(InstanceId::new(sender).unwrap())
     }
 }
 
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -159,6 +159,23 @@
   ageMs @1 :UInt32;
 }
 
+# How requests for a service are divided over regions.
+struct ServiceSplit {
+  # Hash of the service's name.
+  service @0 :UInt64;
+  # Weights of the regions by the hashes of their names.
+  regions @1 :List(Tally);
+}
+
+# What a backend server last stated of how long work takes there.
+struct StatedPace {
+  # Hash of its id.
+  backend @0 :UInt64;
+  # 100 means as usual.
+  percent @1 :UInt32;
+  ageMs @2 :UInt32;
+}
+
 # What an instance, or a hub for those that report to it, tells of its traffic; and a hub's answer.
 struct Traffic {
   sender @0 :Text;
@@ -192,6 +209,14 @@
   weight @14 :UInt32;
   # The sender understands `packedChanges` and `snapshot` in the answer.
   acceptsPacked @15 :Bool;
+  # Busy slots that requests for each service ask for: requests a second times their usual service time.
+  serviceDemands @16 :List(Tally);
+  # In an answer: how the requests of the asker's region are divided over regions.
+  splits @17 :List(ServiceSplit);
+  # Backend servers that stated lately that work takes longer or shorter than usual.
+  paces @18 :List(StatedPace);
+  # Requests a second that were refused for want of room, by service.
+  refusals @19 :List(Tally);
 }
 
 struct StoreRecords {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -13,7 +13,8 @@
 
 use crate::messages::{
     BufferedResponse, Configuration, Exchange, HandoverRecord, HashedAmount, Hello, LeavingRun, Loan,
-    MAX_MESSAGE_BYTES, PROTOCOL_VERSION, RelayedRequest, ShareBucket, StoreDelta, StoreRecord, TrafficReport,
+    MAX_MESSAGE_BYTES, PROTOCOL_VERSION, RelayedRequest, ServiceSplit, ShareBucket, StatedPace, StoreDelta,
+    StoreRecord, TrafficReport,
 };
 use crate::peer_capnp as wire;
 
@@ -244,6 +245,24 @@
         to.set_run(run.run_hash);
         to.set_age_ms(run.age_ms);
     }
+    write_amounts(
+        &report.service_demands,
+        to.reborrow().init_service_demands(list_len(&report.service_demands)),
+    );
+    write_amounts(&report.refusals, to.reborrow().init_refusals(list_len(&report.refusals)));
+    let mut splits = to.reborrow().init_splits(list_len(&report.splits));
+    for (ix, split) in (0..).zip(&report.splits) {
+        let mut to = splits.reborrow().get(ix);
+        to.set_service(split.service_hash);
+        write_amounts(&split.regions, to.init_regions(list_len(&split.regions)));
+    }
+    let mut paces = to.reborrow().init_paces(list_len(&report.paces));
+    for (ix, pace) in (0..).zip(&report.paces) {
+        let mut to = paces.reborrow().get(ix);
+        to.set_backend(pace.backend_hash);
+        to.set_percent(pace.percent);
+        to.set_age_ms(pace.age_ms);
+    }
     to.set_revision(report.store.revision);
     to.set_complete(report.store.is_complete);
     to.set_store_age_ms(report.store.confirmed_age_ms.unwrap_or(UNKNOWN_AGE_MS));
@@ -304,9 +323,22 @@
         strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
         leaving: from.get_leaving()?.iter().map(read_leaving_run).collect(),
         slowness: from.get_slowness()?.iter().map(read_amount).collect(),
+        service_demands: from.get_service_demands()?.iter().map(read_amount).collect(),
+        splits: from.get_splits()?.iter().map(read_service_split).collect::<Result<_>>()?,
+        paces: from.get_paces()?.iter().map(read_pace).collect(),
+        refusals: from.get_refusals()?.iter().map(read_amount).collect(),
     })
 }
 
+fn read_service_split(from: wire::service_split::Reader<'_>) -> Result<ServiceSplit> {
+    let regions = from.get_regions()?.iter().map(read_amount).collect();
+    Ok(ServiceSplit { service_hash: from.get_service(), regions })
+}
+
+fn read_pace(from: wire::stated_pace::Reader<'_>) -> StatedPace {
+    StatedPace { backend_hash: from.get_backend(), percent: from.get_percent(), age_ms: from.get_age_ms() }
+}
+
 fn read_leaving_run(from: wire::leaving_run::Reader<'_>) -> LeavingRun {
     LeavingRun { run_hash: from.get_run(), age_ms: from.get_age_ms() }
 }
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -93,6 +93,65 @@
     /// Measured service time at each slow backend server relative to the usual one; in a hub's answer, as
     /// measured by all other instances.
     pub slowness: Vec<HashedAmount>,
+    /// Busy slots that the requests for each service ask for: requests per second times their usual service
+    /// time in seconds.
+    pub service_demands: Vec<HashedAmount>,
+    /// In a hub's answer, how the requests of its region are divided over regions.
+    pub splits: Vec<ServiceSplit>,
+    /// Backend servers that stated recently that work takes longer or shorter there than usual.
+    pub paces: Vec<StatedPace>,
+    /// Requests per second that were refused for lack of capacity, by service.
+    pub refusals: Vec<HashedAmount>,
+}
+
+impl TrafficReport {
+    /// Creates a report without any traffic.
+    ///
+    /// ```
+    /// use burdock_model::ids::InstanceId;
+    /// use burdock_wire::messages::TrafficReport;
+    /// let report = TrafficReport::new(InstanceId::new("edge-1").unwrap());
+    /// assert!(report.demands.is_empty());
+    /// ```
+    #[must_use]
+    pub fn new(sender: InstanceId) -> Self {
+        Self {
+            sender,
+            instance_count: 0,
+            weight: 0,
+            demands: Vec::new(),
+            in_flight: Vec::new(),
+            is_from_hub: false,
+            store: StoreDelta::default(),
+            strikes: Vec::new(),
+            leaving: Vec::new(),
+            slowness: Vec::new(),
+            service_demands: Vec::new(),
+            splits: Vec::new(),
+            paces: Vec::new(),
+            refusals: Vec::new(),
+        }
+    }
+}
+
+/// How requests for a service are divided over regions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceSplit {
+    /// Hash of the service's name.
+    pub service_hash: u64,
+    /// Weight of each region, by the hash of its name.
+    pub regions: Vec<HashedAmount>,
+}
+
+/// What a backend server last stated of how long work takes there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedPace {
+    /// Hash of the backend server's id.
+    pub backend_hash: u64,
+    /// Time that work takes, in percent of the usual time.
+    pub percent: u32,
+    /// Milliseconds since the backend server stated it.
+    pub age_ms: u32,
 }
 
 /// One run of a backend server's process that said that it is leaving.
