Replace unmarked refusals of requests that may run once

A backend server that runs a request and answers 503, 429, 408 or 421 without its mark for "not run" made the caller send the request again, since these statuses promise that it did not run. Such an answer becomes a 502 of the instance's own, without the backend server's seal, on the platform's front end and on the own interface. Marked refusals, other statuses and repeatable requests are unchanged. The counter attempts.misleading_statuses and a log line show each case. The stand-in marks its 421, as a backend server that runs nothing does.

--- a/crates/burdock-decide/src/answer.rs
+++ b/crates/burdock-decide/src/answer.rs
@@ -1,4 +1,6 @@
-//! Detection of truncated answers of backend servers.
+//! Detection of backend servers' answers that are truncated or that misstate whether the request ran.
+
+use burdock_model::error::means_not_run;
 
 /// How an answer's body is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,3 +45,18 @@
         Framing::UntilClose => BodyEnd::CompleteNotReusable,
     }
 }
+
+/// Returns whether a status that came without the backend server's mark for "not run" would mislead the caller
+/// of a request. Callers send a request that may run only once again after a status that means "not run", and
+/// a backend server may fail with such a status after it has run the request.
+///
+/// ```
+/// use burdock_decide::answer::is_misleading;
+/// assert!(is_misleading(503, false));
+/// assert!(!is_misleading(503, true), "a request that may be repeated can be sent again anyway");
+/// assert!(!is_misleading(500, false), "this status promises nothing");
+/// ```
+#[must_use]
+pub const fn is_misleading(unmarked_status: u16, repeatable: bool) -> bool {
+    !repeatable && means_not_run(unmarked_status)
+}
--- a/crates/burdock-model/src/error.rs
+++ b/crates/burdock-model/src/error.rs
@@ -189,6 +189,17 @@
     }
 }
 
+/// Returns whether a status tells the platform's callers that the request did not run and never will.
+///
+/// ```
+/// use burdock_model::error::means_not_run;
+/// assert!(means_not_run(503) && !means_not_run(502));
+/// ```
+#[must_use]
+pub const fn means_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Error with its kind, a description and an optional hint on how to resolve it.
 #[derive(Clone, Debug, Snafu, PartialEq, Eq, Serialize, Deserialize)]
 #[snafu(display("{detail}{}", Hint(hint.as_deref())))]
--- a/crates/burdock-node/src/forward/run.rs
+++ b/crates/burdock-node/src/forward/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::answer::is_misleading;
 use burdock_decide::pick::{BackendView, select_backend};
 use burdock_decide::quarantine::{QuarantineDecision, STRIKES_TO_REFUSE};
 use burdock_decide::retry::{RetryView, SendProgress, may_retry};
@@ -99,7 +100,7 @@
         let result =
             attempt_with_hedge(node, outbound, service, &mut tried, &backend, current_body, runs_alone).await;
         let failed = match result {
-            Ok(response) => return Ok(response),
+            Ok(response) => return check_status(node, outbound, response),
             Err(failed) => failed,
         };
         record_failure(node, outbound, &backend, &failed);
@@ -129,6 +130,21 @@
     }
 }
 
+// A status that means "not run" goes to the caller of a request that may run only once only if the backend
+// server marked it. Its health is not at fault, since it may refuse a single organisation.
+fn check_status(node: &Node, outbound: &Outbound, response: AttemptResponse) -> Result<AttemptResponse> {
+    let status = response.resp.status();
+    if !is_misleading(status.as_u16(), outbound.repeatable) {
+        return Ok(response);
+    }
+    let backend = &response.in_flight.backend().id;
+    let detail =
+        format!("backend server `{backend}` answered {status} without stating that the request did not run");
+    log::info!(backend = backend.as_str(), status = status.as_u16(); "{detail}");
+    node.counters.add(Counter::MisleadingStatuses);
+    Err(Error::new(ErrorKind::BadAnswer, detail))
+}
+
 // Sends a second copy of the request when there is no response within the hedge delay. The first response
 // wins; the other attempt is dropped, which closes its connection and so cancels it.
 async fn attempt_with_hedge(
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -50,6 +50,8 @@
     Hedges => "attempts.hedges",
     /// Attempts not made because the retry budget was exhausted.
     RetryBudgetSpent => "attempts.over_budget",
+    /// Statuses of backend servers that would have wrongly meant "not run" and were replaced.
+    MisleadingStatuses => "attempts.misleading_statuses",
     /// Steering answers sent.
     SteeringAnswers => "steer.answers",
     /// Loans of tokens requested from other share holders.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::answer::is_misleading;
 use burdock_decide::headers::HOP_BY_HOP;
 use burdock_decide::place::Placement;
 use burdock_decide::retry::SendProgress;
@@ -81,7 +82,8 @@
     ///
     /// # Errors
     /// [`AttemptFailure`] if there is no connection, the answer is missing, incomplete or not for this
-    /// request, the backend server refuses the request, or it answers a repeatable one with a server error.
+    /// request, the backend server refuses the request, it answers a repeatable one with a server error, or it
+    /// answers another one with a status that would wrongly mean "not run".
     pub async fn run(&self, body: RequestBody) -> Result<BackendAnswer, AttemptFailure> {
         let in_flight = self.backend.begin_request();
         let begun_before = self.backend.own_in_flight().saturating_sub(1);
@@ -193,8 +195,12 @@
             return Some(self.invalid_answer_failure("the answer belongs to another request"));
         }
         let is_not_run = headers.contains_key(&self.node.dialect.not_run);
-        if is_not_run || resp.status() == StatusCode::MISDIRECTED_REQUEST {
+        let is_misdirected = resp.status() == StatusCode::MISDIRECTED_REQUEST;
+        if is_not_run || is_misdirected {
             self.backend.record_refusal(self.now());
+            if !is_not_run && is_misleading(resp.status().as_u16(), self.outbound.route.repeatable) {
+                return Some(self.misleading_status_failure(resp.status()));
+            }
             let error = self.error(ErrorKind::Overloaded, "refused the request without running it");
             return Some(AttemptFailure { progress: SendProgress::Shed, error, body: None, answer: None });
         }
@@ -205,6 +211,15 @@
         None
     }
 
+    // The caller gets an answer of this instance's own: another status with the backend server's seal would be
+    // a forged answer.
+    fn misleading_status_failure(&self, status: StatusCode) -> AttemptFailure {
+        let detail = format!("answered {status} without stating that the request did not run");
+        log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
+        self.node.counters.add(Counter::MisleadingStatuses);
+        self.written_failure(ErrorKind::BadAnswer, &detail)
+    }
+
     fn invalid_answer_failure(&self, detail: &str) -> AttemptFailure {
         self.backend.record_broken_answer(self.now());
         log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
@@ -251,6 +266,9 @@
             self.node.record_answer_bytes(self.outbound.route, bytes);
         }
         self.record_answer(sent_at, is_server_error);
+        if is_misleading(parts.status.as_u16(), self.outbound.route.repeatable) {
+            return Err(self.misleading_status_failure(parts.status));
+        }
         let mut resp = Response::from_parts(parts, body);
         for name in HOP_BY_HOP {
             resp.headers_mut().remove(name);
--- a/crates/burdock-node/tests/entry.rs
+++ b/crates/burdock-node/tests/entry.rs
@@ -230,6 +230,39 @@
     expect_that!(status_and_outcome(&resp), any![eq((502, "unknown")), eq((503, "not-run"))]);
 }
 
+// Guards against a command that has run and is answered with a status that means "not run".
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_without_shed_mark_is_unknown_for_a_request_that_may_run_once() {
+    let system = start_system().await;
+    for (name, status, shed, is_repeatable, expected) in [
+        ("busy", "503 Service Unavailable", "", false, (502, "unknown")),
+        ("many", "429 Too Many Requests", "", false, (502, "unknown")),
+        ("shed", "503 Service Unavailable", "x-shed: 1\r\n", false, (503, "not-run")),
+        ("failed", "500 Internal Server Error", "", false, (500, "ran")),
+        ("again", "503 Service Unavailable", "", true, (503, "ran")),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut request = [0; 1024];
+                let read = stream.read(&mut request).await.unwrap_or(0);
+                let is_probe = request[..read].starts_with(b"GET /health");
+                let (status, shed) = if is_probe { ("200 OK", "") } else { (status, shed) };
+                let answer =
+                    format!("HTTP/1.1 {status}\r\n{shed}connection: close\r\ncontent-length: 0\r\n\r\n");
+                let _written = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        let backend = json!({"backends": {name: {"address": address, "region": "riga", "zone": "riga-a"}},
+            "routes": {name: {"prefix": format!("/{name}/"), "repeatable": is_repeatable}}});
+        assert_eq!(system.patch_tree(&format!("services/{name}"), backend).await, 200);
+        let resp = system.send(system.request_to(&format!("/{name}/1")).method("POST"), "").await.unwrap();
+        expect_that!(status_and_outcome(&resp), eq(expected), "{name}");
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_in_progress_is_aborted_when_its_key_is_withdrawn() {
--- a/crates/burdock-standin/src/backend.rs
+++ b/crates/burdock-standin/src/backend.rs
@@ -221,6 +221,7 @@
         if req_headers.get(&dialect.expected_backend).is_some_and(|expected| *expected != own_id) {
             let mut resp = shed_response();
             *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            resp.headers_mut().insert(&dialect.not_run, HeaderValue::from_static("1"));
             return Ok(resp);
         }
         let mut resp = self.run(req).await?;
