Start no requests behind an answer that may break its connection

An answer that is forwarded before it is whole and breaks off ends its connection, and with it up to eight requests behind it that other backend servers were running. Behind a route that had such an answer within ten minutes nothing starts early; behind one without a known answer two requests do. The rest of an answer that is unexpectedly long is held up to 4 MiB while requests wait behind it, so that one that breaks off becomes a 502 and they are answered.

With the limits or the holding switched off, the tests for them fail.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod once;
 pub mod pick;
+pub mod pipeline;
 pub mod place;
 pub mod quarantine;
 pub mod region;
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -244,12 +244,16 @@
             read_answer(incoming, (connection, in_flight), is_reusable, self.node, self.outbound.deadline);
         let body = match tokio::time::timeout(timeout, read).await {
             Ok(Ok(ReadAnswer::Whole(body, connection))) => {
+                self.node.record_answer_delivery(self.outbound.route, true);
                 if is_reusable {
                     self.backend.pool.release(connection);
                 }
                 body
             }
-            Ok(Ok(ReadAnswer::Partial(body))) => body,
+            Ok(Ok(ReadAnswer::Partial(body))) => {
+                self.node.record_answer_delivery(self.outbound.route, false);
+                body
+            }
             Ok(Err(e)) => {
                 self.backend.record_broken_answer(self.now());
                 log::info!(backend = self.name().as_str(), id = self.id(); "the answer broke off: {e}");
--- a/crates/burdock-node/src/site/body.rs
+++ b/crates/burdock-node/src/site/body.rs
@@ -27,6 +27,10 @@
 /// backend server, however slowly the caller reads it.
 const MAX_HELD_BYTES: usize = 1 << 20;
 
+/// Size up to which an answer is held that others of its connection wait behind, in bytes. It is a quarter of
+/// [`ANSWER_MEMORY_BYTES`], so that a few long answers don't take all of it.
+const MAX_HELD_FOR_OTHERS_BYTES: usize = 4 << 20;
+
 /// Number of chunks from which held ones are joined. Each chunk keeps the buffer that it was read into.
 const MAX_HELD_CHUNKS: usize = 64;
 
@@ -132,6 +136,46 @@
         Self { held, rest: None, in_use: InUse::default() }
     }
 
+    /// Returns whether a part of the body is still to come from the backend server.
+    #[must_use]
+    pub const fn is_streamed(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Reads what is still to come, as far as memory allows. What remains then is streamed as before.
+    ///
+    /// # Errors
+    /// When the body breaks off. Nothing of it has been forwarded then.
+    pub async fn hold_rest(&mut self, memory: &AnswerMemory) -> Result<(), AnswerError> {
+        let mut bytes: usize = self.held.iter().map(Bytes::len).sum();
+        while let Some(rest) = &mut self.rest
+            && bytes <= MAX_HELD_FOR_OTHERS_BYTES
+        {
+            let Some(frame) = std::future::poll_fn(|cx| rest.poll(cx)).await else {
+                self.rest = None;
+                return Ok(());
+            };
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            let length = data.len();
+            bytes += length;
+            self.held.push_back(data);
+            if self.held.len() >= MAX_HELD_CHUNKS {
+                self.held = VecDeque::from([concat(&self.held)]);
+            }
+            if !memory.take(&mut self.in_use.memory, length) {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes the request that is counted as in flight.
+    pub fn take_request(&mut self) -> Option<RequestGuard> {
+        self.in_use.request.take()
+    }
+
     /// Counts a request as in flight until the body was sent or dropped.
     pub fn hold_request(&mut self, guard: RequestGuard) {
         self.in_use.request = Some(guard);
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -19,7 +19,7 @@
 use crate::forward::body::{RequestBody, has_conflicting_lengths};
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
-use crate::site::body::ResponseBody;
+use crate::site::body::{AnswerError, ResponseBody};
 use crate::site::outbound::{Outbound, forwarded_headers};
 use crate::site::send::{ForwardOutcome, RequestFailure, forward};
 use crate::site::{SiteNode, allowances};
@@ -61,6 +61,24 @@
     resp
 }
 
+/// Holds the rest of an answer that breaks the caller's connection if it breaks off, because requests that were
+/// started early wait behind it. One that breaks off while it is held becomes an answer with the error.
+pub async fn hold_rest(node: &SiteNode, mut resp: Response<ResponseBody>) -> Response<ResponseBody> {
+    let Err(e) = resp.body_mut().hold_rest(&node.answer_memory).await else {
+        return resp;
+    };
+    let kind = match e {
+        AnswerError::Broken { .. } => ErrorKind::BadAnswer,
+        AnswerError::Late => ErrorKind::DeadlineAfter,
+    };
+    log::info!("an answer that was held for the requests behind it broke off: {e}");
+    let mut refusal = refusal_response(node, &failure(kind, &e.to_string(), None), resp.headers());
+    if let Some(guard) = resp.body_mut().take_request() {
+        refusal.body_mut().hold_request(guard);
+    }
+    refusal
+}
+
 async fn answer(
     node: &Arc<SiteNode>,
     config: &SiteConfigIndex,
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -31,6 +31,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use burdock_decide::pipeline::RouteAnswers;
 use burdock_decide::retry::RetryBudget;
 use burdock_decide::split::WeightedRoundRobin;
 use burdock_decide::time::Time;
@@ -102,6 +103,7 @@
     target_rotations: Sharded<HashMap<RouteName, WeightedRoundRobin>>,
     service_times: Sharded<HashMap<RouteName, WarmServiceTime>>,
     answer_sizes: Sharded<HashMap<RouteName, f64>>,
+    route_answers: Sharded<HashMap<RouteName, RouteAnswers>>,
     max_time_limits: Sharded<HashMap<RouteName, Duration>>,
     phase: PhaseCell,
     in_flight: AtomicUsize,
@@ -178,6 +180,7 @@
             target_rotations: Sharded::default(),
             service_times: Sharded::default(),
             answer_sizes: Sharded::default(),
+            route_answers: Sharded::default(),
             max_time_limits: Sharded::default(),
             phase: PhaseCell::default(),
             in_flight: AtomicUsize::new(0),
@@ -289,6 +292,24 @@
         *mean += (bytes as f64 - *mean) * ANSWER_SIZE_SMOOTHING;
     }
 
+    /// Records whether an answer of a route was whole before any of it was forwarded.
+    pub fn record_answer_delivery(&self, route: &Route, is_whole: bool) {
+        let mut shard = self.route_answers.lock(name_hash(route.name.as_str()));
+        if !shard.contains_key(&route.name) {
+            shard.insert(route.name.clone(), RouteAnswers::default());
+        }
+        if let Some(answers) = shard.get_mut(&route.name) {
+            if is_whole { answers.record_whole() } else { answers.record_streamed(self.clock.now()) }
+        }
+    }
+
+    /// Returns how many requests of a connection may start behind a request of a route.
+    #[must_use]
+    pub fn max_started_behind(&self, route: &Route) -> usize {
+        let shard = self.route_answers.lock(name_hash(route.name.as_str()));
+        shard.get(&route.name).copied().unwrap_or_default().max_started_behind(self.clock.now())
+    }
+
     /// Returns how long a caller has waited in earlier attempts: the longest time limit that a request of the
     /// route had on arrival, less that of this request.
     #[must_use]
--- a/crates/burdock-node/src/site/pipeline.rs
+++ b/crates/burdock-node/src/site/pipeline.rs
@@ -3,11 +3,16 @@
 //! hyper serves the requests of a connection one after the other. Repeatable requests are started here as
 //! soon as they arrive. When hyper hands such a request over, its answer is in progress or ready, so that
 //! answers keep the order of the requests.
+//!
+//! An answer that is forwarded before it is whole may break off and take the connection with it. So none is
+//! started behind a request whose route has had such answers; see [`burdock_decide::pipeline`].
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use burdock_decide::pipeline::MAX_EARLY_REQUESTS;
 use burdock_decide::time::Time;
+use burdock_model::site::{Route, SiteConfigIndex};
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderValue, Response, Uri};
@@ -20,10 +25,6 @@
 use crate::site::handle::handle;
 use crate::site::head_scan::ScannedHead;
 
-/// Maximum number of requests of one connection that run before their turn: as many as callers pipeline in
-/// practice. It bounds what one connection takes from others.
-const MAX_EARLY_REQUESTS: usize = 8;
-
 /// Queue of the requests of a connection that have arrived and that hyper has not handed over yet.
 #[derive(Debug)]
 pub struct Pipeline {
@@ -35,6 +36,8 @@
 struct State {
     // In order of arrival.
     requests: VecDeque<PipelinedRequest>,
+    // Number of requests that may start behind the one that hyper took over last.
+    max_behind_current: Option<usize>,
     // No further request is started early, because the connection is to close.
     is_closing: bool,
 }
@@ -42,14 +45,15 @@
 #[derive(Debug)]
 enum PipelinedRequest {
     Waiting(ScannedHead),
-    // Has a body or is not repeatable, so it runs only when its turn comes.
-    InTurn(Time),
+    // Is not repeatable, so it runs only when its turn comes.
+    InTurn { arrived_at: Time, max_behind: usize },
     Started(EarlyRequest),
 }
 
 #[derive(Debug)]
 struct EarlyRequest {
     arrived_at: Time,
+    max_behind: usize,
     target: Uri,
     attempt_id: Option<HeaderValue>,
     answer: AbortOnDropHandle<Response<ResponseBody>>,
@@ -83,25 +87,36 @@
         if state.is_closing {
             return;
         }
+        let mut room = state.max_behind_current.unwrap_or(MAX_EARLY_REQUESTS);
         for request in state.requests.iter_mut().take(MAX_EARLY_REQUESTS) {
             if let PipelinedRequest::Waiting(head) = request {
-                *request = match head.parts.take() {
-                    Some(parts) if self.may_start_early(&parts) => self.start(*parts, head.arrived_at),
-                    Some(_) | None => PipelinedRequest::InTurn(head.arrived_at),
+                if room == 0 {
+                    return;
+                }
+                // Where a body follows, hyper takes the request over before more is known of it.
+                let Some(parts) = head.parts.take() else {
+                    return;
                 };
+                *request = self.classify(*parts, head.arrived_at);
             }
+            room = room.saturating_sub(1).min(request.max_behind());
         }
     }
 
     /// Removes the next request, which hyper hands over with the given head.
     #[must_use]
     pub fn pop(&self, parts: &Parts) -> PoppedRequest {
-        let next = self.state.lock().requests.pop_front();
+        let max_behind = self.max_behind(parts);
+        let next = {
+            let mut state = self.state.lock();
+            state.max_behind_current = Some(max_behind);
+            state.requests.pop_front()
+        };
         match next {
             None => PoppedRequest { arrived_at: None, answer: None },
             Some(
                 PipelinedRequest::Waiting(ScannedHead { arrived_at, .. })
-                | PipelinedRequest::InTurn(arrived_at),
+                | PipelinedRequest::InTurn { arrived_at, .. },
             ) => PoppedRequest { arrived_at: Some(arrived_at), answer: None },
             Some(PipelinedRequest::Started(early)) => {
                 let attempt_id = parts.headers.get(&self.node.dialect.attempt_id);
@@ -128,21 +143,39 @@
 
     // A request that is not repeatable must not start early: if the connection closes before its turn, the
     // caller takes it for unread and sends it again.
-    fn may_start_early(&self, parts: &Parts) -> bool {
-        if self.node.phase() >= Phase::Draining {
-            return false;
-        }
+    fn classify(&self, parts: Parts, arrived_at: Time) -> PipelinedRequest {
+        let max_behind = self.max_behind(&parts);
         let config = self.node.config.load();
-        let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let route = config.route(host, parts.uri.path()).map(|ix| &config.published.routes[ix]);
-        route.is_some_and(|route| route.repeatable)
-    }
-
-    fn start(&self, parts: Parts, arrived_at: Time) -> PipelinedRequest {
+        let is_repeatable = route_of(&config, &parts).is_some_and(|route| route.repeatable);
+        if self.node.phase() >= Phase::Draining || !is_repeatable {
+            return PipelinedRequest::InTurn { arrived_at, max_behind };
+        }
         let target = parts.uri.clone();
         let attempt_id = parts.headers.get(&self.node.dialect.attempt_id).cloned();
         let work = handle(Arc::clone(&self.node), parts, None, arrived_at);
         let answer = AbortOnDropHandle::new(tokio::spawn(work));
-        PipelinedRequest::Started(EarlyRequest { arrived_at, target, attempt_id, answer })
+        PipelinedRequest::Started(EarlyRequest { arrived_at, max_behind, target, attempt_id, answer })
+    }
+
+    // A request without a route gets a short answer of this instance's own.
+    fn max_behind(&self, parts: &Parts) -> usize {
+        let config = self.node.config.load();
+        let route = route_of(&config, parts);
+        route.map_or(MAX_EARLY_REQUESTS, |route| self.node.max_started_behind(route))
+    }
+}
+
+impl PipelinedRequest {
+    fn max_behind(&self) -> usize {
+        match self {
+            Self::Waiting(_) => 0,
+            Self::InTurn { max_behind, .. } => *max_behind,
+            Self::Started(early) => early.max_behind,
+        }
     }
 }
+
+fn route_of<'a>(config: &'a SiteConfigIndex, parts: &Parts) -> Option<&'a Route> {
+    let host = parts.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    config.route(host, parts.uri.path()).map(|ix| &config.published.routes[ix])
+}
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -221,6 +221,9 @@
         Some(resp) => resp,
         None => handle::handle(Arc::clone(&node), parts, Some(incoming), arrived_at).await,
     };
+    if resp.body().is_streamed() && !pipeline.is_drained() {
+        resp = handle::hold_rest(&node, resp).await;
+    }
     if node.phase() >= Phase::Draining && pipeline.is_drained() {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -2,11 +2,17 @@
 
 mod site_support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use burdock_node::observe::counters::Counter;
+use burdock_standin::site::{HOST, SampleConfig};
 use googletest::prelude::*;
+use serde_json::json;
 use site_support::{Site, raw};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const KEY: (&str, &str) = ("x-burdockcroft-key", "key-of-farm");
 
@@ -69,3 +75,93 @@
     let answer = site.post(0, "/valves/1", &[KEY], "open").await.unwrap();
     expect_that!((answer.status, answer.header("x-burdockcroft-response-seal")), eq((503, None)));
 }
+
+fn request(path: &str, id: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nx-burdockcroft-key: key-of-farm\r\nx-burdockcroft-attempt-id: {id}\r\n\r\n"
+    )
+}
+
+// A request whose id begins with `long` gets an answer of so many bytes that breaks off half-way, one with `whole`
+// gets all of them, and others a short answer after 300 ms. Returns how many of the others have arrived.
+async fn start_breaking(long_bytes: usize) -> (Site, Arc<AtomicUsize>) {
+    let site = Site::start(1, 0).await;
+    let mut config = SampleConfig::new(2);
+    config.routes[0]["timeout_s"] = json!(10);
+    config.publish(&site.store);
+    site.wait_until(async || site.config_versions() == [2]).await;
+    let others = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&others);
+    let backend = raw::Backend::start_closing(move |id| {
+        if id.starts_with("long") || id.starts_with("whole") {
+            let mut answer = raw::build_answer(&id, &"x".repeat(long_bytes));
+            if id.starts_with("long") {
+                answer.truncate(long_bytes / 2);
+            }
+            return vec![(Duration::ZERO, answer)];
+        }
+        count.fetch_add(1, Ordering::Relaxed);
+        vec![(Duration::from_millis(300), raw::build_answer(&id, "short"))]
+    })
+    .await;
+    site.register("quotes-raw", "quotes", backend.address);
+    let node = &site.instances[0].node;
+    site.wait_until(async || !node.backends.usable().services.is_empty()).await;
+    (site, others)
+}
+
+// Guards against losing requests with the connection that a long answer breaks: none is started behind an answer
+// that is forwarded before it is whole, once the route has had one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_starts_behind_an_answer_that_may_break_the_connection() {
+    // Too long to be held for the requests behind it.
+    let (site, others) = start_breaking(24 << 20).await;
+    let answer = site.get(0, "/quotes/1", &[KEY, ("x-burdockcroft-attempt-id", "whole")]).await.unwrap();
+    expect_that!((answer.status, answer.body.len()), eq((200, 24 << 20)));
+    let mut stream = TcpStream::connect(site.callers_address(0)).await.unwrap();
+    let behind: String = (0..4).map(|nth| request("/public/1", &format!("behind-{nth}"))).collect();
+    stream.write_all((request("/quotes/1", "long") + &behind).as_bytes()).await.unwrap();
+    let mut read = Vec::new();
+    let _ended = stream.read_to_end(&mut read).await;
+    expect_that!(read.len(), lt(24 << 20));
+    expect_that!(others.load(Ordering::Relaxed), eq(0));
+    // Behind an answer that is whole they run when their turn comes.
+    let (tx, mut rx) = raw::connect(site.callers_address(0)).await;
+    tx.send(request("/quotes/1", "whole-2") + &behind);
+    expect_that!(rx.next_ids(5).await.len(), eq(5));
+}
+
+// Guards against losing requests behind the first long answer of a route: it is held until it is whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_answer_that_others_wait_behind_is_replaced_and_they_are_answered() {
+    let (site, others) = start_breaking(3 << 20).await;
+    let (tx, mut rx) = raw::connect(site.callers_address(0)).await;
+    let behind: String = (0..2).map(|nth| request("/public/1", &format!("behind-{nth}"))).collect();
+    tx.send(request("/quotes/1", "long") + &behind);
+    expect_that!(rx.next_ids(3).await, eq(&["long", "behind-0", "behind-1"].map(str::to_owned)));
+    expect_that!(others.load(Ordering::Relaxed), eq(2));
+    let node = &site.instances[0].node;
+    site.wait_until(async || node.in_flight() == 0).await;
+    expect_that!(node.answer_memory.free_bytes(), eq(16 << 20));
+}
+
+// Guards against starting many requests behind one whose answer may turn out to be long.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn at_most_two_requests_start_behind_a_route_without_a_known_answer() {
+    let (site, others) = start_breaking(1).await;
+    let (tx, mut rx) = raw::connect(site.callers_address(0)).await;
+    let all: String = (0..5).map(|nth| request("/quotes/1", &format!("q-{nth}"))).collect();
+    tx.send(all);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    expect_that!(others.load(Ordering::Relaxed), eq(3));
+    expect_that!(rx.next_ids(5).await.len(), eq(5));
+    // Later all of them start at once.
+    others.store(0, Ordering::Relaxed);
+    tx.send((0..5).map(|nth| request("/quotes/1", &format!("r-{nth}"))).collect());
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    expect_that!(others.load(Ordering::Relaxed), eq(5));
+    expect_that!(rx.next_ids(5).await.len(), eq(5));
+}
