Bound the age of a small instance's configuration by the operators' setting

A small instance relied on its hub's relays for 4 s, also while the hub was cut off from the store, and kept an old configuration for up to 3.8 s where 3 s are allowed. bounds.config_apply_s is read, and bounds the age of the store's confirmation. A small instance asks a larger one or another region's hub first, and calls the store at a random moment before the bound. Its query is not recorded as a report, since that would make a standby look like a hub in use.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod region;
+pub mod relay;
 pub mod retry;
 pub mod shares;
 pub mod shift;
--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -53,6 +53,8 @@
 pub struct Bounds {
     /// Time without faults after which an instance counts as in contact.
     pub contact_time: Duration,
+    /// Maximum time until a change of the configuration is in force.
+    pub config_apply_time: Duration,
     /// Maximum time that a draining backend server may still receive requests.
     pub max_drain_time: Duration,
     /// Time between the stop signal and the forced end of the process.
@@ -75,6 +77,7 @@
     fn default() -> Self {
         Self {
             contact_time: Duration::from_secs(4),
+            config_apply_time: Duration::from_secs(3),
             max_drain_time: Duration::from_millis(2500),
             stop_timeout: Duration::from_secs(6),
             retry_ratio: 0.2,
@@ -90,6 +93,17 @@
 /// Capacity class up to which a machine is small: a tenth of a core on a link of 60 Mbit/s.
 const MAX_SMALL_CLASS: u32 = 2;
 
+/// Returns whether a machine of a capacity class has little capacity for more than callers' requests.
+///
+/// ```
+/// use burdock_model::site_settings::is_small_class;
+/// assert!(is_small_class(2) && !is_small_class(6));
+/// ```
+#[must_use]
+pub const fn is_small_class(capacity_class: u32) -> bool {
+    capacity_class <= MAX_SMALL_CLASS
+}
+
 impl SiteSettings {
     /// Returns the class of the machine's capacity to carry traffic for others. Each class has twice the
     /// capacity of the one below.
@@ -108,7 +122,7 @@
     /// Returns whether the machine has little capacity for more than callers' requests.
     #[must_use]
     pub fn is_small(&self) -> bool {
-        self.capacity_class() <= MAX_SMALL_CLASS
+        is_small_class(self.capacity_class())
     }
 
     /// Returns the number of cores that the process may use.
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -52,6 +52,8 @@
     RetryBudgetSpent => "attempts.over_budget",
     /// Statuses of backend servers that would have wrongly meant "not run" and were replaced.
     MisleadingStatuses => "attempts.misleading_statuses",
+    /// Calls to other instances for changes of the store.
+    PeerQueries => "store.peer_queries",
     /// Steering answers sent.
     SteeringAnswers => "steer.answers",
     /// Loans of tokens requested from other share holders.
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -159,7 +159,11 @@
             state.hubs.insert(sender, received);
             return state.summary(own, now);
         }
-        state.reporters.insert(sender.clone(), received);
+        // A report that counts nothing only asks for changes of the store. It must not make this instance look like
+        // a hub in use.
+        if received.report.instance_count > 0 || places_requests {
+            state.reporters.insert(sender.clone(), received);
+        }
         let remote_in_flight =
             if places_requests { to_amounts(&state.in_flight(Some(&sender), now)) } else { Vec::new() };
         let slowness = if places_requests { state.slowness(Some(&sender), now) } else { Vec::new() };
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use burdock_decide::relay::MAX_RELAY_AGE;
 use burdock_decide::time::Time;
 use burdock_platform::kv::{Record, Records};
 use burdock_wire::messages::{StoreDelta, StoreRecord, decode_records, encode_records};
@@ -31,11 +32,6 @@
 /// Time for which a packed snapshot is reused. Whoever gets it asks for the changes since then.
 const SNAPSHOT_TTL: Duration = Duration::from_millis(600);
 
-/// Maximum age of the store's confirmation up to which an instance relies on its hub's relays and needs no
-/// watch of its own. It covers a hub's long poll, a round trip to the store and two reports, one of them
-/// between regions.
-pub const MAX_RELAY_AGE: Duration = Duration::from_millis(1700);
-
 /// Age of the store's confirmation from which a hub asks other hubs for theirs. A working watch confirms more
 /// often, and the answers are still within [`MAX_RELAY_AGE`] when the hub has relayed them.
 const HUB_QUERY_AGE: Duration = Duration::from_millis(900);
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use burdock_decide::backoff::backoff_delay;
+use burdock_decide::relay::{ChangeSource, RelayView, change_source};
 use burdock_decide::time::Time;
 use burdock_model::error::Error;
-use burdock_model::ids::{BackendId, InstanceId, ZoneName};
+use burdock_model::ids::{BackendId, InstanceId, RegionName, ZoneName};
 use burdock_model::site::{SiteChange, SiteConfigIndex};
+use burdock_model::site_settings::is_small_class;
 use burdock_platform::decode::{INSTANCE_PREFIX, decode_change, is_backend_entry, is_config};
 use burdock_platform::kv::{Record, Records, WatchOutcome};
 use burdock_platform::store::StoreResult;
-use burdock_wire::messages::StoreDelta;
+use burdock_wire::messages::{PeerAddress, StoreDelta, TrafficReport};
 
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
@@ -38,9 +40,8 @@
 /// only when the hub alone is cut off.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(2500);
 
-/// Age of the store's confirmation up to which a small instance makes no calls of its own. While its hub
-/// answers, an older one means that the store is away, and the larger instances look for it.
-const MAX_SMALL_RELAY_AGE: Duration = Duration::from_secs(4);
+/// Time limit of a call for another instance's changes, opening a session between regions included.
+const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum time for which a small instance waits for its hub to relay all keys.
 const MAX_SNAPSHOT_WAIT: Duration = Duration::from_millis(1500);
@@ -55,18 +56,27 @@
 const ALL_KEYS: &str = "";
 
 /// Follows the store until the process ends. A hub, or an instance without fresh relays, watches the store
-/// itself; the others apply the changes that their hub relays with its answers to reports.
+/// itself; the others apply the changes that their hub relays with its answers to reports. A small instance asks
+/// other instances before the store.
 pub async fn follow_loop(node: Arc<SiteNode>) {
-    let mut failures = 0;
+    let (mut failures, mut spread) = (0, rand::random());
     loop {
         let now = node.clock.now();
         let is_hub = node.hub.hub_of(&node, &node.settings.region).is_none();
-        let max_age = if node.settings.is_small() { MAX_SMALL_RELAY_AGE } else { MAX_RELAY_AGE };
-        let is_fresh = node.mirror.confirmed_at().is_some_and(|at| now.since(at) < max_age);
-        if !is_hub && is_fresh && node.mirror.revision().is_some() {
+        let source = change_source(&RelayView {
+            confirmed_age: node.mirror.confirmed_at().map(|at| now.since(at)),
+            is_small: node.settings.is_small(),
+            apply_time: node.settings.bounds.config_apply_time,
+            spread,
+        });
+        if !is_hub && source != ChangeSource::Store && node.mirror.revision().is_some() {
+            if let ChangeSource::Peers { time_left } = source {
+                query_peer(&node, time_left.min(PEER_QUERY_TIMEOUT)).await;
+            }
             tokio::time::sleep(RELAY_POLL_INTERVAL).await;
             continue;
         }
+        spread = rand::random();
         let result = match node.mirror.revision() {
             None if node.settings.is_small() && wait_for_snapshot(&node).await => continue,
             None => read_all(&node).await,
@@ -94,6 +104,48 @@
     }
 }
 
+// Asks another instance for the changes that this one lacks. Nothing of the report is counted there.
+async fn query_peer(node: &SiteNode, timeout: Duration) {
+    let peers = queryable_peers(node);
+    let Some(peer) = (!peers.is_empty()).then(|| &peers[rand::random_range(0..peers.len())]) else {
+        return;
+    };
+    let (requested_at, from) = (node.clock.now(), node.mirror.revision().unwrap_or(0));
+    let store = StoreDelta { revision: from, accepts_packed: true, ..StoreDelta::default() };
+    let query = TrafficReport { store, ..TrafficReport::new(node.incarnation.instance.clone()) };
+    node.counters.add(Counter::PeerQueries);
+    let answer = tokio::time::timeout(timeout, node.peers.report_traffic(peer, query, timeout)).await;
+    match answer {
+        Ok(Ok(answer)) => apply_relayed(node, answer.store, requested_at, from),
+        Ok(Err(e)) => {
+            log::info!(peer = peer.id.as_str(); "no changes of the store from another instance: {e:?}")
+        }
+        Err(_elapsed) => {
+            log::info!(peer = peer.id.as_str(); "no changes of the store from another instance in time")
+        }
+    }
+}
+
+// Returns the larger instances of the region, which call the store themselves when relays are late, and the hubs of
+// other regions.
+fn queryable_peers(node: &SiteNode) -> Vec<PeerAddress> {
+    let (now, own_region) = (node.clock.now(), &node.settings.region);
+    let view = node.fleet.view();
+    let hub = node.hub.hub_of(node, own_region);
+    let larger = view.hubs(own_region).filter(|i| {
+        !is_small_class(i.capacity_class)
+            && i.id != node.incarnation.instance
+            && hub.as_ref().is_none_or(|hub| hub.id != i.id)
+            && !node.hub.is_unreachable(&i.id, now)
+    });
+    let mut peers: Vec<PeerAddress> =
+        larger.map(|i| PeerAddress { id: i.id.clone(), address: i.peers }).collect();
+    let regions: BTreeSet<&RegionName> =
+        node.settings.regions.values().filter(|r| *r != own_region).collect();
+    peers.extend(regions.into_iter().filter_map(|region| node.hub.hub_of(node, region)));
+    peers
+}
+
 /// Applies the changes after revision `from` that a hub relayed in answer to a report sent at `requested_at`.
 pub fn apply_relayed(node: &SiteNode, delta: StoreDelta, requested_at: Time, from: u64) {
     let Some(age) = delta.confirmed_age_ms.filter(|_| delta.is_complete) else {
--- a/crates/burdock-node/tests/site_outage.rs
+++ b/crates/burdock-node/tests/site_outage.rs
@@ -71,6 +71,29 @@
     expect_that!(changed_at.elapsed(), lt(Duration::from_millis(1500)));
 }
 
+// Guards against a small instance that keeps an old configuration beside a hub that is cut off from the store, in a
+// deployment whose hub reaches no other one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn small_instance_beside_a_hub_without_store_learns_changes_within_the_bound() {
+    let (mut site, links) = start_linked(&["riga", "riga"]).await;
+    site.add_small_instance("riga").await;
+    site.wait_until(async || site.instances.iter().all(|n| n.node.fleet.view().listed.len() == 3)).await;
+    expect_that!(site.instances[2].node.settings.is_small(), eq(true));
+    tokio::time::sleep(Duration::from_millis(2000)).await;
+    let view = site.instances[0].node.fleet.view();
+    let hub = view.hubs(&site.instances[0].node.settings.region).next().unwrap().id.clone();
+    let cut = site.instances.iter().position(|n| n.node.incarnation.instance == hub).unwrap();
+    let before = store_calls(&site)[2];
+    links[cut].cut();
+    SampleConfig::new(2).publish(&site.store);
+    let changed_at = std::time::Instant::now();
+    site.wait_until(async || site.config_versions()[2] == 2).await;
+    expect_that!(changed_at.elapsed(), lt(site.instances[2].node.settings.bounds.config_apply_time));
+    // The other instance told it: its own calls are those that renew its lease, and at most one more.
+    expect_that!(store_calls(&site)[2] - before, le(4));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn instance_entries_are_rewritten_promptly_after_lease_expiry() {
