Replace sessions between instances that went silent

A session whose connection forwards nothing was used again after each time-out until the kernel gave it up. After a call that timed out, the hello message probes the session; without an answer within a second it is closed, and the next call opens a new one.

--- a/crates/burdock-wire/src/client.rs
+++ b/crates/burdock-wire/src/client.rs
@@ -1,5 +1,6 @@
 //! Client side of the protocol: calls to other instances.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,9 +16,11 @@
 use futures::future::{LocalBoxFuture, Shared};
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot};
+use tokio::task::AbortHandle;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::convert;
+use crate::keep_alive::enable_keep_alive;
 use crate::messages::{
     BufferedResponse, Configuration, Exchange, HandoverRecord, Hello, Loan, PeerAddress, PeerError,
     RelayedRequest, ShareBucket, TokenGrant, TokenRequest, TrafficReport,
@@ -31,11 +34,22 @@
 /// Time limit for opening a session: to connect and exchange hellos.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time limit of the probe of a session on which a call timed out.
+const PROBE_TIMEOUT: Duration = CONNECT_TIMEOUT;
+
 /// Time limit of a call for which the caller sets none.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 // Shared, so that concurrent calls wait for the same session to open.
-type SharedSession = Shared<LocalBoxFuture<'static, Result<peer::Client, String>>>;
+type SharedSession = Shared<LocalBoxFuture<'static, Result<OpenSession, String>>>;
+
+#[derive(Clone)]
+struct OpenSession {
+    client: peer::Client,
+    // Whether a probe of the session is in progress. Its address identifies the session.
+    is_probed: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
 
 /// Outgoing sessions of one thread, by id and address of the other instance.
 #[derive(Default)]
@@ -348,14 +362,45 @@
     F: FnOnce(peer::Client) -> Fut,
     Fut: Future<Output = capnp::Result<T>>,
 {
-    let client = get_or_open_session(state, hello, to).await.map_err(PeerError::NotSent)?;
-    match tokio::time::timeout(timeout, f(client)).await {
+    let session = get_or_open_session(state, hello, to).await.map_err(PeerError::NotSent)?;
+    match tokio::time::timeout(timeout, f(session.client.clone())).await {
         Ok(Ok(value)) => Ok(value),
         Ok(Err(e)) => {
             remove_if_disconnected(state, to, &e);
             Err(PeerError::Lost(e.to_string()))
         }
-        Err(_elapsed) => Err(PeerError::Lost(format!("`{}` did not answer within {timeout:?}", to.id))),
+        Err(_elapsed) => {
+            probe_session(state, hello, to, session);
+            Err(PeerError::Lost(format!("`{}` did not answer within {timeout:?}", to.id)))
+        }
+    }
+}
+
+// Checks whether a session on which a call timed out still answers, and closes it if it does not. The other
+// instance may only have been busy with that call, which is no reason to open a new session.
+fn probe_session(state: &Rc<LocalState>, hello: &Arc<Hello>, to: &PeerAddress, session: OpenSession) {
+    if session.is_probed.replace(true) {
+        return;
+    }
+    let mut req = session.client.hello_request();
+    convert::write_hello(hello, req.get().init_hello());
+    let (state, peer) = (Rc::clone(state), to.clone());
+    tokio::task::spawn_local(async move {
+        if matches!(tokio::time::timeout(PROBE_TIMEOUT, req.send().promise).await, Ok(Ok(_))) {
+            session.is_probed.set(false);
+            return;
+        }
+        remove_session(&state, &peer, &session.is_probed);
+        session.task.abort();
+    });
+}
+
+// Removes a session unless it was replaced by another one.
+fn remove_session(state: &Rc<LocalState>, peer: &PeerAddress, is_probed: &Rc<Cell<bool>>) {
+    let mut sessions = state.sessions.borrow_mut();
+    let known = sessions.0.get(peer).and_then(Shared::peek);
+    if matches!(known, Some(Ok(session)) if Rc::ptr_eq(&session.is_probed, is_probed)) {
+        sessions.0.remove(peer);
     }
 }
 
@@ -363,7 +408,7 @@
     state: &Rc<LocalState>,
     hello: &Arc<Hello>,
     to: &PeerAddress,
-) -> Result<peer::Client, String> {
+) -> Result<OpenSession, String> {
     let existing = state.sessions.borrow().0.get(to).cloned();
     let session = existing.unwrap_or_else(|| {
         let session = open_session(Rc::clone(state), Arc::clone(hello), to.clone()).boxed_local().shared();
@@ -381,20 +426,21 @@
     state: Rc<LocalState>,
     hello: Arc<Hello>,
     to: PeerAddress,
-) -> Result<peer::Client, String> {
+) -> Result<OpenSession, String> {
     let connect = async {
         let stream = TcpStream::connect(to.address).await.map_err(|e| format!("{}: {e}", to.address))?;
-        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        enable_keep_alive(&stream).map_err(|e| e.to_string())?;
         let (read, write) = stream.into_split();
         let network =
             VatNetwork::new(read.compat(), write.compat_write(), Side::Client, convert::reader_options());
         let mut rpc_system = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = rpc_system.bootstrap(Side::Server);
-        let peer = to.clone();
-        tokio::task::spawn_local(async move {
+        let is_probed = Rc::new(Cell::new(false));
+        let (peer, identity) = (to.clone(), Rc::clone(&is_probed));
+        let task = tokio::task::spawn_local(async move {
             // A session that ends for any reason is removed, so that the next call opens a new one.
             let _result = rpc_system.await;
-            state.sessions.borrow_mut().0.remove(&peer);
+            remove_session(&state, &peer, &identity);
         });
         let mut req = client.hello_request();
         convert::write_hello(&hello, req.get().init_hello());
@@ -407,7 +453,7 @@
                 to.address, answer.incarnation.instance, to.id
             ));
         }
-        Ok(client)
+        Ok(OpenSession { client, is_probed, task: task.abort_handle() })
     };
     let timed_out = |_elapsed| format!("{} did not open a session within {CONNECT_TIMEOUT:?}", to.address);
     tokio::time::timeout(CONNECT_TIMEOUT, connect).await.map_err(timed_out)?
--- a/crates/burdock-wire/src/lib.rs
+++ b/crates/burdock-wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 mod convert;
+mod keep_alive;
 pub mod messages;
 pub mod server;
 mod threads;
--- a/crates/burdock-wire/src/server.rs
+++ b/crates/burdock-wire/src/server.rs
@@ -15,6 +15,7 @@
 
 use crate::client::PeerClient;
 use crate::convert;
+use crate::keep_alive::enable_keep_alive;
 use crate::messages::{
     BufferedResponse, Configuration, Exchange, HandoverRecord, Hello, Loan, RelayedRequest, ShareBucket,
     TokenGrant, TokenRequest, TrafficReport,
@@ -129,7 +130,7 @@
     runtime: Handle,
 ) -> std::result::Result<(), String> {
     let stream = TcpStream::from_std(stream).map_err(|e| e.to_string())?;
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    enable_keep_alive(&stream).map_err(|e| e.to_string())?;
     let (read, write) = stream.into_split();
     let network =
         VatNetwork::new(read.compat(), write.compat_write(), Side::Server, convert::reader_options());
--- a/crates/burdock-wire/tests/sessions.rs
+++ b/crates/burdock-wire/tests/sessions.rs
@@ -1,6 +1,8 @@
 //! Calls over a real session: messages round-trip, and failures and malformed input are contained.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use burdock_model::error::{Error, ErrorKind};
@@ -15,6 +17,7 @@
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 fn incarnation(name: &str) -> InstanceIncarnation {
     InstanceIncarnation { instance: InstanceId::new(name).unwrap(), incarnation: Incarnation(7) }
@@ -149,3 +152,62 @@
     let loan = peers.borrow_tokens(&peer, "o".to_owned(), 2, Duration::from_secs(5)).await.unwrap();
     expect_that!(loan.granted, eq(2));
 }
+
+// Forwards connections to `target`. Those that were open when the number in `silent` grew stay open and forward
+// nothing more.
+async fn start_forwarder(target: SocketAddr) -> (SocketAddr, watch::Sender<usize>, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (silence, silent) = watch::channel(0);
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&accepted);
+    tokio::spawn(async move {
+        while let Ok((mut from, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            let mut silent = silent.clone();
+            silent.mark_unchanged();
+            tokio::spawn(async move {
+                let mut to = TcpStream::connect(target).await.unwrap();
+                tokio::select! {
+                    _ended = tokio::io::copy_bidirectional(&mut from, &mut to) => {}
+                    _silent = silent.changed() => std::future::pending().await,
+                }
+            });
+        }
+    });
+    (address, silence, accepted)
+}
+
+// Guards against using a session again and again whose connection went silent.
+#[gtest]
+#[tokio::test]
+async fn silent_session_is_replaced_after_a_call_timed_out() {
+    let (peers, peer) = start_server().await;
+    let (address, silence, accepted) = start_forwarder(peer.address).await;
+    let peer = PeerAddress { address, ..peer };
+    let timeout = Duration::from_millis(300);
+    assert_eq!(peers.borrow_tokens(&peer, "o".to_owned(), 2, timeout).await.unwrap().granted, 2);
+    silence.send_replace(1);
+    let e = peers.borrow_tokens(&peer, "o".to_owned(), 2, timeout).await.unwrap_err();
+    expect_that!(e.is_not_sent(), eq(false));
+    // The probe that follows has a second.
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    expect_that!(peers.borrow_tokens(&peer, "o".to_owned(), 2, timeout).await.map(|l| l.granted), ok(eq(&2)));
+    expect_that!(accepted.load(Ordering::Relaxed), eq(2));
+}
+
+// Guards against opening new sessions to an instance that is only busy.
+#[gtest]
+#[tokio::test]
+async fn session_on_which_a_call_is_late_stays_open() {
+    let (peers, peer) = start_server().await;
+    let (address, _silence, accepted) = start_forwarder(peer.address).await;
+    let peer = PeerAddress { address, ..peer };
+    for _ in 0..3 {
+        let late = peers.borrow_tokens(&peer, "o".to_owned(), 9, Duration::from_millis(50)).await;
+        expect_that!(late.is_err(), eq(true));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    let loan = peers.borrow_tokens(&peer, "o".to_owned(), 2, Duration::from_secs(1)).await.unwrap();
+    expect_that!((loan.granted, accepted.load(Ordering::Relaxed)), eq((2, 1)));
+}
