Answer callers that close their sending side

The end of a caller's bytes was taken for a caller that is gone, so that one that only closed its sending side got no answer. Such a connection is served on. To tell a caller that is gone, the first byte of the answer, which is the same for all, is sent at once; the reset that it causes closes the connection within a round trip and 50 ms. An upload that ends early no longer counts against its backend server.

--- a/crates/burdock-node/src/forward/attempt.rs
+++ b/crates/burdock-node/src/forward/attempt.rs
@@ -135,7 +135,10 @@
     AttemptFailure { progress: SendProgress::Written, error, body: None, crashed }
 }
 
-fn is_caller_fault(e: &hyper::Error) -> bool {
+/// Returns whether an exchange with a backend server failed because the caller's body ended early or exceeds its
+/// limit.
+#[must_use]
+pub fn is_caller_fault(e: &hyper::Error) -> bool {
     let mut source = std::error::Error::source(e);
     while let Some(inner) = source {
         if inner.is::<crate::forward::body::BodyError>() {
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -17,6 +17,7 @@
 use http_body::Body;
 use hyper::body::Incoming;
 
+use crate::forward::attempt::is_caller_fault;
 use crate::forward::body::RequestBody;
 use crate::forward::pool::Connection;
 use crate::observe::counters::Counter;
@@ -102,7 +103,7 @@
             Some(Err(mut e)) => {
                 return Err(match e.take_message() {
                     Some(req) => self.not_written_failure("closed", req.into_body()),
-                    None => self.broken_connection_failure(&e.into_error()),
+                    None => self.broken_exchange_failure(&e.into_error()),
                 });
             }
             None => {
@@ -148,6 +149,14 @@
         Err(self.not_written_failure(&detail, body))
     }
 
+    // The backend server is not at fault if the caller's part of the exchange ended early.
+    fn broken_exchange_failure(&self, e: &hyper::Error) -> AttemptFailure {
+        if is_caller_fault(e) {
+            return self.written_failure(ErrorKind::BodyCut, "the request body ended early or is too long");
+        }
+        self.broken_connection_failure(e)
+    }
+
     // A broken connection may mean that only this answer broke. Whether the backend server died is checked in
     // the background, while the next attempt goes to another one.
     fn broken_connection_failure(&self, e: &hyper::Error) -> AttemptFailure {
--- a/crates/burdock-node/src/site/read_ahead.rs
+++ b/crates/burdock-node/src/site/read_ahead.rs
@@ -1,5 +1,9 @@
 //! A caller's connection that is read ahead of the HTTP server. Thus the caller's end of the connection is
 //! noticed while a request runs, even if pipelined requests come before the end.
+//!
+//! A caller that closes its sending side may still wait for its answer, and its end looks the same as that of a
+//! caller that is gone. Only a system without a reader answers further bytes with a reset. So the first byte of
+//! the answer, which is the same for every answer, is sent at once.
 
 use std::io;
 use std::pin::Pin;
@@ -20,6 +24,13 @@
 /// Time after which a connection is closed whose caller takes none of an answer's bytes.
 pub const MAX_WRITE_STALL: Duration = Duration::from_secs(10);
 
+/// Interval at which a connection whose caller has closed its sending side is checked for a reset. The end of
+/// the caller's bytes hides a reset from reads.
+const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// First byte of every answer: that of the protocol's name.
+const FIRST_BYTE: u8 = b'H';
+
 /// Maximum number of bytes that one read takes from the socket.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
@@ -38,16 +49,30 @@
     write_stall: Option<Pin<Box<Sleep>>>,
     // Bytes that were read and that the HTTP server has not taken yet.
     ahead: BytesMut,
-    ended: bool,
+    input: Input,
+    reset_check: Option<Pin<Box<Sleep>>>,
+    // The first byte of the next answer has been sent.
+    first_byte_sent: bool,
     on_bytes: OnBytes,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Input {
+    Open,
+    // The caller has closed its sending side.
+    Closed,
+    // The connection failed.
+    Failed,
+}
+
 /// Result of reading ahead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Filled {
     /// Bytes that the HTTP server has not seen yet.
     Bytes,
-    /// The caller has closed its end, or the connection failed.
+    /// The caller has closed its sending side. The caller of [`ReadAhead::poll_fill`] must poll the HTTP server.
+    HalfClosed,
+    /// The connection failed, or its caller no longer reads from it.
     Ended,
 }
 
@@ -55,7 +80,15 @@
     /// Wraps a connection. `on_bytes` receives all bytes that are read from it.
     #[must_use]
     pub fn new(stream: TcpStream, on_bytes: OnBytes) -> Self {
-        let shared = Shared { stream, write_stall: None, ahead: BytesMut::new(), ended: false, on_bytes };
+        let shared = Shared {
+            stream,
+            write_stall: None,
+            ahead: BytesMut::new(),
+            input: Input::Open,
+            reset_check: None,
+            first_byte_sent: false,
+            on_bytes,
+        };
         Self { shared: Arc::new(Mutex::new(shared)) }
     }
 
@@ -64,12 +97,25 @@
     pub fn poll_fill(&self, cx: &mut Context<'_>) -> Poll<Filled> {
         self.shared.lock().poll_fill(cx)
     }
+
+    /// Sends the first byte of the next answer ahead of the answer, so that the system of a caller that is gone
+    /// resets the connection. Must be called only while a request is at work, when the HTTP server has written all
+    /// earlier answers.
+    pub fn send_first_byte(&self) {
+        let mut shared = self.shared.lock();
+        // Bytes of an earlier answer that wait for the caller have the same effect.
+        if !shared.first_byte_sent && shared.write_stall.is_none() {
+            shared.first_byte_sent = matches!(shared.stream.try_write(&[FIRST_BYTE]), Ok(1));
+        }
+    }
 }
 
 impl Shared {
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<Filled> {
-        if self.ended {
-            return Poll::Ready(Filled::Ended);
+        match self.input {
+            Input::Open => {}
+            Input::Closed => return self.poll_reset(cx).map(|()| Filled::Ended),
+            Input::Failed => return Poll::Ready(Filled::Ended),
         }
         if self.ahead.len() >= MAX_AHEAD_BYTES {
             return Poll::Pending;
@@ -82,13 +128,44 @@
                 self.ahead.extend_from_slice(buf.filled());
                 Poll::Ready(Filled::Bytes)
             }
-            Ok(()) | Err(_) => {
-                self.ended = true;
+            Ok(()) => {
+                self.input = Input::Closed;
+                Poll::Ready(Filled::HalfClosed)
+            }
+            Err(_) => {
+                self.input = Input::Failed;
                 Poll::Ready(Filled::Ended)
             }
         }
     }
 
+    // Ready once the caller's system has reset the connection.
+    fn poll_reset(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if !matches!(self.stream.take_error(), Ok(None)) {
+                self.input = Input::Failed;
+                return Poll::Ready(());
+            }
+            let check =
+                self.reset_check.get_or_insert_with(|| Box::pin(tokio::time::sleep(RESET_CHECK_INTERVAL)));
+            std::task::ready!(check.as_mut().poll(cx));
+            self.reset_check = None;
+        }
+    }
+
+    // Writes an answer whose first byte has been sent already.
+    fn poll_write_rest(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let Some((&FIRST_BYTE, rest)) = buf.split_first() else {
+            return Poll::Ready(Err(io::Error::other("an answer does not begin as all others do")));
+        };
+        let written = match rest {
+            [] => 0,
+            rest => std::task::ready!(Pin::new(&mut self.stream).poll_write(cx, rest))?,
+        };
+        self.first_byte_sent = false;
+        Poll::Ready(Ok(written + 1))
+    }
+
     // Fails once the caller has taken no bytes for too long. An answer that waits holds memory.
     fn check_write(
         &mut self,
@@ -116,11 +193,11 @@
 
 impl std::fmt::Debug for Shared {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Self { stream, write_stall: _, ahead, ended, on_bytes: _ } = self;
+        let Self { stream, ahead, input, .. } = self;
         f.debug_struct("Shared")
             .field("stream", stream)
             .field("ahead", &ahead.len())
-            .field("ended", ended)
+            .field("input", input)
             .finish_non_exhaustive()
     }
 }
@@ -129,7 +206,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut shared = self.shared.lock();
         if shared.ahead.is_empty() {
-            if shared.ended {
+            if shared.input != Input::Open {
                 return Poll::Ready(Ok(()));
             }
             return shared.poll_read(cx, buf);
@@ -148,7 +225,11 @@
 impl AsyncWrite for ReadAhead {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let mut shared = self.shared.lock();
-        let written = Pin::new(&mut shared.stream).poll_write(cx, buf);
+        let written = if shared.first_byte_sent && !buf.is_empty() {
+            shared.poll_write_rest(cx, buf)
+        } else {
+            Pin::new(&mut shared.stream).poll_write(cx, buf)
+        };
         shared.check_write(cx, written)
     }
 
@@ -158,7 +239,11 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let mut shared = self.shared.lock();
-        let written = Pin::new(&mut shared.stream).poll_write_vectored(cx, bufs);
+        let first = bufs.iter().find(|buf| !buf.is_empty()).filter(|_| shared.first_byte_sent);
+        let written = match first {
+            Some(buf) => shared.poll_write_rest(cx, buf),
+            None => Pin::new(&mut shared.stream).poll_write_vectored(cx, bufs),
+        };
         shared.check_write(cx, written)
     }
 
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -139,15 +139,24 @@
     let limits = node.config.load().published.caller_limits;
     let has_request = Arc::new(AtomicBool::new(false));
     let noted_request = Arc::clone(&has_request);
+    let is_working = Arc::new(AtomicBool::new(false));
+    let noted_work = Arc::clone(&is_working);
     let answer = move |req| {
         noted_request.store(true, Ordering::Relaxed);
+        let (work, noted_work) = (handler(req), Arc::clone(&noted_work));
         // Boxed, so that an idle connection does not hold the memory of a request's future.
-        Box::pin(handler(req))
+        Box::pin(async move {
+            noted_work.store(true, Ordering::Relaxed);
+            let resp = work.await;
+            noted_work.store(false, Ordering::Relaxed);
+            resp
+        })
     };
     let io = ReadAhead::new(stream, scan_heads(node.clock, pipeline.map(Arc::clone)));
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
+            .half_close(true)
             // hyper measures this from the end of the last answer, so it bounds idle time and head together.
             .header_read_timeout(limits.idle_timeout + limits.header_timeout)
             .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BYTES) * 2)
@@ -162,7 +171,7 @@
             tokio::time::sleep(FIRST_REQUEST_POLL_INTERVAL).await;
         }
     });
-    let (mut is_stopping, mut is_closing) = (false, false);
+    let (mut is_stopping, mut is_closing, mut is_half_closed) = (false, false, false);
     std::future::poll_fn(|cx| {
         if !is_stopping && stop_signal.as_mut().poll(cx).is_ready() {
             is_stopping = true;
@@ -183,8 +192,12 @@
                 }
             }
             pipeline.into_iter().for_each(|p| p.start_waiting());
+            if is_half_closed && is_working.load(Ordering::Relaxed) {
+                io.send_first_byte();
+            }
             match std::task::ready!(io.poll_fill(cx)) {
                 Filled::Bytes => {}
+                Filled::HalfClosed => is_half_closed = true,
                 Filled::Ended => return Poll::Ready(()),
             }
         }
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use burdock_node::observe::counters::Counter;
 use burdock_standin::site::{HOST, SampleConfig};
@@ -165,3 +165,67 @@
     expect_that!(others.load(Ordering::Relaxed), eq(5));
     expect_that!(rx.next_ids(5).await.len(), eq(5));
 }
+
+// Guards against dropping the request of a caller that closes its sending side after it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_closes_its_sending_side_gets_its_answers() {
+    let site = Site::start(1, 1).await;
+    let once = |id: &str| request("/valves/1?delay_ms=200", id);
+    // Alone, and with a repeatable and a non-repeatable request behind it.
+    let cases = [once("a1"), once("b1") + &request("/quotes/1?delay_ms=300", "b2") + &once("b3")];
+    for (requests, ids) in cases.into_iter().zip([vec!["a1"], vec!["b1", "b2", "b3"]]) {
+        let mut stream = TcpStream::connect(site.callers_address(0)).await.unwrap();
+        stream.write_all(requests.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut read = Vec::new();
+        tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut read)).await.unwrap().unwrap();
+        let text = String::from_utf8(read).unwrap();
+        // Every answer is complete and comes once.
+        expect_that!(text.starts_with("HTTP/1.1 200 OK\r\n"), eq(true), "{text}");
+        expect_that!(text.matches("HTTP/1.1 200 OK\r\n").count(), eq(ids.len()), "{text}");
+        for id in ids {
+            expect_that!(text.contains(&format!("x-burdockcroft-attempt-id: {id}\r\n")), eq(true), "{id}");
+            expect_that!(site.run_count(id), eq(1));
+        }
+    }
+}
+
+// Guards against work for a caller that is gone, which at first looks like one that closed its sending side.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_is_gone_is_noticed_although_half_closed_callers_are_served() {
+    let site = Site::start(1, 1).await;
+    let node = &site.instances[0].node;
+    let bytes = request("/valves/1?delay_ms=1500", "gone") + &request("/valves/1", "behind");
+    raw::send_and_close(site.callers_address(0), &bytes, Duration::from_millis(100)).await;
+    let left_at = Instant::now();
+    site.wait_until(async || node.in_flight() == 0).await;
+    expect_that!(left_at.elapsed(), lt(Duration::from_millis(400)));
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    expect_that!((site.finished_count("gone"), site.run_count("behind")), eq((0, 0)));
+}
+
+// Guards against blaming a backend server for an upload whose caller closes its sending side in the middle.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_that_its_caller_ends_early_is_no_fault_of_the_backend() {
+    let site = Site::start(1, 0).await;
+    let backend =
+        raw::Backend::start(|id| vec![(Duration::from_secs(1), raw::build_answer(&id, "late"))]).await;
+    site.register("quotes-raw", "quotes", backend.address);
+    let node = &site.instances[0].node;
+    site.wait_until(async || !node.backends.usable().services.is_empty()).await;
+    let mut stream = TcpStream::connect(site.callers_address(0)).await.unwrap();
+    let head = request("/quotes/1", "cut").replace("\r\n\r\n", "\r\ncontent-length: 400000\r\n\r\n");
+    stream.write_all((head.replace("GET", "POST") + &"x".repeat(100_000)).as_bytes()).await.unwrap();
+    site.wait_until(async || backend.requests() == 1).await;
+    stream.shutdown().await.unwrap();
+    let mut read = Vec::new();
+    let _ended = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut read)).await.unwrap();
+    expect_that!(String::from_utf8_lossy(&read).starts_with("HTTP/1.1 2"), eq(false));
+    site.wait_until(async || node.in_flight() == 0).await;
+    let usable = node.backends.usable();
+    let state = &usable.services.values().next().unwrap()[0];
+    expect_that!(state.candidate(true, 1.0, true, node.clock.now()).failure_ratio, eq(0.0));
+}
