Mark no backend server unreachable for an attempt that was short of time

An attempt whose own time was up before a connection was open marked its backend server as unreachable and cold. An attempt with less time has the connection checked apart from the request, so that a backend server that accepts none is still found.

--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -138,10 +138,20 @@
     }
 
     async fn connect(&self, body: RequestBody) -> Result<(Connection, RequestBody), AttemptFailure> {
-        let timeout = self.outbound.time_left(self.now()).min(CONNECT_TIMEOUT);
+        let time_left = self.outbound.time_left(self.now());
+        let timeout = time_left.min(CONNECT_TIMEOUT);
         let detail = match tokio::time::timeout(timeout, self.backend.pool.acquire()).await {
             Ok(Ok(connection)) => return Ok((connection, body)),
             Ok(Err(detail)) => detail,
+            // The backend server had less time than a connection may take, which says nothing about it.
+            Err(_elapsed) if time_left < CONNECT_TIMEOUT => {
+                tokio::spawn(record_unreachable_if_confirmed(
+                    Arc::clone(self.node),
+                    Arc::clone(self.backend),
+                    self.service.cold_time,
+                ));
+                return Err(self.not_written_failure("no connection in the time that was left", body));
+            }
             Err(_elapsed) => "no connection within the time limit".to_owned(),
         };
         self.backend.record_unreachable(self.service.cold_time, self.now());
@@ -341,6 +351,15 @@
     }
 }
 
+// Records that a backend server is unreachable if it accepts no connection in the time that one may take.
+// Otherwise requests with short time limits would never find out.
+async fn record_unreachable_if_confirmed(node: Arc<SiteNode>, backend: Arc<Backend>, cold_time: Duration) {
+    if !backend.pool.accepts_connections().await {
+        log::info!(backend = backend.registered.id.as_str(); "unreachable: no connection for an attempt that was short of time");
+        backend.record_unreachable(cold_time, node.clock.now());
+    }
+}
+
 // Records a crash if the backend server accepts no connection. It has died while it ran the request, which
 // may or may not be the cause.
 async fn record_crash_if_unreachable(
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -11,6 +11,7 @@
 use googletest::prelude::*;
 use serde_json::json;
 use site_support::{Site, raw};
+use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -229,3 +230,28 @@
     let state = &usable.services.values().next().unwrap()[0];
     expect_that!(state.candidate(true, 1.0, true, node.clock.now()).failure_ratio, eq(0.0));
 }
+
+// Guards against a backend server that is taken out because an attempt had too little time left to connect.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn attempt_that_is_short_of_time_does_not_mark_a_backend_unreachable() {
+    let site = Site::start(1, 0).await;
+    // No connection is accepted: one in the queue of the listener fills it.
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let _queued = TcpStream::connect(address).await.unwrap();
+    site.register("quotes-full", "quotes", address);
+    let node = &site.instances[0].node;
+    site.wait_until(async || !node.backends.usable().services.is_empty()).await;
+    let backend = Arc::clone(&node.backends.usable().services.values().next().unwrap()[0]);
+    let is_cold = || backend.is_cold(node.clock.now());
+    let headers = [KEY, ("x-burdockcroft-deadline-ms", "200")];
+    let answer = site.get(0, "/quotes/1", &headers).await.unwrap();
+    expect_that!((answer.status, is_cold()), eq((503, false)));
+    // It is found out apart from the request: a connection may take a second.
+    let started_at = Instant::now();
+    site.wait_until(async || is_cold()).await;
+    expect_that!(started_at.elapsed(), gt(Duration::from_millis(500)));
+}
