--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -52,6 +52,10 @@
     RetryBudgetSpent => "attempts.over_budget",
     /// Statuses of backend servers that would have wrongly meant "not run" and were replaced.
     MisleadingStatuses => "attempts.misleading_statuses",
+    /// Long answers whose rest was held because requests that were started early wait behind them.
+    AnswersHeldForOthers => "answers.held_for_others",
+    /// Callers that closed their sending side while a request was at work.
+    CallersHalfClosed => "connections.half_closed",
     /// Calls to other instances for changes of the store.
     PeerQueries => "store.peer_queries",
     /// Steering answers sent.
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -64,6 +64,7 @@
 /// Holds the rest of an answer that breaks the caller's connection if it breaks off, because requests that were
 /// started early wait behind it. One that breaks off while it is held becomes an answer with the error.
 pub async fn hold_rest(node: &SiteNode, mut resp: Response<ResponseBody>) -> Response<ResponseBody> {
+    node.counters.add(Counter::AnswersHeldForOthers);
     let Err(e) = resp.body_mut().hold_rest(&node.answer_memory).await else {
         return resp;
     };
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::Clock;
 use crate::forward::pool::enable_dead_peer_detection;
+use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::body::ResponseBody;
@@ -197,7 +198,12 @@
             }
             match std::task::ready!(io.poll_fill(cx)) {
                 Filled::Bytes => {}
-                Filled::HalfClosed => is_half_closed = true,
+                Filled::HalfClosed => {
+                    is_half_closed = true;
+                    if is_working.load(Ordering::Relaxed) {
+                        node.counters.add(Counter::CallersHalfClosed);
+                    }
+                }
                 Filled::Ended => return Poll::Ready(()),
             }
         }
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -146,6 +146,7 @@
     let node = &site.instances[0].node;
     site.wait_until(async || node.in_flight() == 0).await;
     expect_that!(node.answer_memory.free_bytes(), eq(16 << 20));
+    expect_that!(node.counters.get(Counter::AnswersHeldForOthers), eq(1));
 }
 
 // Guards against starting many requests behind one whose answer may turn out to be long.
@@ -190,6 +191,7 @@
             expect_that!(site.run_count(id), eq(1));
         }
     }
+    expect_that!(site.instances[0].node.counters.get(Counter::CallersHalfClosed), eq(2));
 }
 
 // Guards against work for a caller that is gone, which at first looks like one that closed its sending side.
