--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::answer::is_misleading;
 use burdock_decide::headers::HOP_BY_HOP;
 use burdock_decide::place::Placement;
 use burdock_decide::retry::SendProgress;
@@ -16,6 +17,7 @@
 use http_body::Body;
 use hyper::body::Incoming;
 
+use crate::forward::attempt::is_caller_fault;
 use crate::forward::body::RequestBody;
 use crate::forward::pool::Connection;
 use crate::observe::counters::Counter;
@@ -81,7 +83,8 @@
     ///
     /// # Errors
     /// [`AttemptFailure`] if there is no connection, the answer is missing, incomplete or not for this
-    /// request, the backend server refuses the request, or it answers a repeatable one with a server error.
+    /// request, the backend server refuses the request, it answers a repeatable one with a server error, or it
+    /// answers another one with a status that would wrongly mean "not run".
     pub async fn run(&self, body: RequestBody) -> Result<BackendAnswer, AttemptFailure> {
         let in_flight = self.backend.begin_request();
         let begun_before = self.backend.own_in_flight().saturating_sub(1);
@@ -100,7 +103,7 @@
             Some(Err(mut e)) => {
                 return Err(match e.take_message() {
                     Some(req) => self.not_written_failure("closed", req.into_body()),
-                    None => self.broken_connection_failure(&e.into_error()),
+                    None => self.broken_exchange_failure(&e.into_error()),
                 });
             }
             None => {
@@ -135,10 +138,20 @@
     }
 
     async fn connect(&self, body: RequestBody) -> Result<(Connection, RequestBody), AttemptFailure> {
-        let timeout = self.outbound.time_left(self.now()).min(CONNECT_TIMEOUT);
+        let time_left = self.outbound.time_left(self.now());
+        let timeout = time_left.min(CONNECT_TIMEOUT);
         let detail = match tokio::time::timeout(timeout, self.backend.pool.acquire()).await {
             Ok(Ok(connection)) => return Ok((connection, body)),
             Ok(Err(detail)) => detail,
+            // The backend server had less time than a connection may take, which says nothing about it.
+            Err(_elapsed) if time_left < CONNECT_TIMEOUT => {
+                tokio::spawn(record_unreachable_if_confirmed(
+                    Arc::clone(self.node),
+                    Arc::clone(self.backend),
+                    self.service.cold_time,
+                ));
+                return Err(self.not_written_failure("no connection in the time that was left", body));
+            }
             Err(_elapsed) => "no connection within the time limit".to_owned(),
         };
         self.backend.record_unreachable(self.service.cold_time, self.now());
@@ -146,6 +159,14 @@
         Err(self.not_written_failure(&detail, body))
     }
 
+    // The backend server is not at fault if the caller's part of the exchange ended early.
+    fn broken_exchange_failure(&self, e: &hyper::Error) -> AttemptFailure {
+        if is_caller_fault(e) {
+            return self.written_failure(ErrorKind::BodyCut, "the request body ended early or is too long");
+        }
+        self.broken_connection_failure(e)
+    }
+
     // A broken connection may mean that only this answer broke. Whether the backend server died is checked in
     // the background, while the next attempt goes to another one.
     fn broken_connection_failure(&self, e: &hyper::Error) -> AttemptFailure {
@@ -193,8 +214,12 @@
             return Some(self.invalid_answer_failure("the answer belongs to another request"));
         }
         let is_not_run = headers.contains_key(&self.node.dialect.not_run);
-        if is_not_run || resp.status() == StatusCode::MISDIRECTED_REQUEST {
+        let is_misdirected = resp.status() == StatusCode::MISDIRECTED_REQUEST;
+        if is_not_run || is_misdirected {
             self.backend.record_refusal(self.now());
+            if !is_not_run && is_misleading(resp.status().as_u16(), self.outbound.route.repeatable) {
+                return Some(self.misleading_status_failure(resp.status()));
+            }
             let error = self.error(ErrorKind::Overloaded, "refused the request without running it");
             return Some(AttemptFailure { progress: SendProgress::Shed, error, body: None, answer: None });
         }
@@ -205,6 +230,15 @@
         None
     }
 
+    // The caller gets an answer of this instance's own: another status with the backend server's seal would be
+    // a forged answer.
+    fn misleading_status_failure(&self, status: StatusCode) -> AttemptFailure {
+        let detail = format!("answered {status} without stating that the request did not run");
+        log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
+        self.node.counters.add(Counter::MisleadingStatuses);
+        self.written_failure(ErrorKind::BadAnswer, &detail)
+    }
+
     fn invalid_answer_failure(&self, detail: &str) -> AttemptFailure {
         self.backend.record_broken_answer(self.now());
         log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
@@ -229,12 +263,16 @@
             read_answer(incoming, (connection, in_flight), is_reusable, self.node, self.outbound.deadline);
         let body = match tokio::time::timeout(timeout, read).await {
             Ok(Ok(ReadAnswer::Whole(body, connection))) => {
+                self.node.record_answer_delivery(self.outbound.route, true);
                 if is_reusable {
                     self.backend.pool.release(connection);
                 }
                 body
             }
-            Ok(Ok(ReadAnswer::Partial(body))) => body,
+            Ok(Ok(ReadAnswer::Partial(body))) => {
+                self.node.record_answer_delivery(self.outbound.route, false);
+                body
+            }
             Ok(Err(e)) => {
                 self.backend.record_broken_answer(self.now());
                 log::info!(backend = self.name().as_str(), id = self.id(); "the answer broke off: {e}");
@@ -251,6 +289,9 @@
             self.node.record_answer_bytes(self.outbound.route, bytes);
         }
         self.record_answer(sent_at, is_server_error);
+        if is_misleading(parts.status.as_u16(), self.outbound.route.repeatable) {
+            return Err(self.misleading_status_failure(parts.status));
+        }
         let mut resp = Response::from_parts(parts, body);
         for name in HOP_BY_HOP {
             resp.headers_mut().remove(name);
@@ -310,6 +351,15 @@
     }
 }
 
+// Records that a backend server is unreachable if it accepts no connection in the time that one may take.
+// Otherwise requests with short time limits would never find out.
+async fn record_unreachable_if_confirmed(node: Arc<SiteNode>, backend: Arc<Backend>, cold_time: Duration) {
+    if !backend.pool.accepts_connections().await {
+        log::info!(backend = backend.registered.id.as_str(); "unreachable: no connection for an attempt that was short of time");
+        backend.record_unreachable(cold_time, node.clock.now());
+    }
+}
+
 // Records a crash if the backend server accepts no connection. It has died while it ran the request, which
 // may or may not be the cause.
 async fn record_crash_if_unreachable(
