Plan how each region's requests are divided over the regions

Cause: rendezvous weights took no account of a region's slots and demand. With 24, 116 and 98 backend servers and a third of the callers in each region, the backend servers of the small region get 1.43 times the mean load, and 2.01 times at the highest of a swing of demand by 55%.

Change: each region has a weight, at most 1, by service, from the regions' slots and their shares of demand, which are averaged over a minute. Instances report their demand, hubs exchange the sums, advance the plan by at most 0.05 of a region's requests in 2 s and answer with it. Before any plan, instances compute one from the registered slots. Where no region exceeds the mean by 10% the weights are those of before. Metrics, a log line and the status show it.

Result: this is the whole plan between regions except for pace and network delay as inputs. Not measured on a deployment.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod region;
+pub mod region_plan;
 pub mod retry;
 pub mod shares;
 pub mod shift;
--- a/crates/burdock-decide/src/place.rs
+++ b/crates/burdock-decide/src/place.rs
@@ -54,6 +54,8 @@
     pub id_hash: u64,
     /// Whether it is in the region of this instance.
     pub is_local: bool,
+    /// Index of its region.
+    pub region: usize,
     /// Network round trip to it.
     pub round_trip_ms: f64,
     /// Requests that it runs concurrently.
@@ -87,6 +89,8 @@
     pub max_load_per_slot: f64,
     /// Rendezvous weight of a backend server in the local region; see [`local_weight`].
     pub local_weight: f64,
+    /// Weight of each region by index; see [`crate::region_plan`]. Regions that are not listed have the weight 1.
+    pub region_weights: &'a [f64],
     /// Random number, uniform over all `u64`, that breaks ties.
     pub random: u64,
 }
@@ -110,11 +114,11 @@
 ///
 /// ```
 /// use burdock_decide::place::*;
-/// let local = Candidate { id_hash: 1, is_local: true, round_trip_ms: 1.0, slots: 2, load: 0, slowness: 1.0,
-///     failure_ratio: 0.0, refusal_ratio: 0.0, is_warm: true, is_available: true };
-/// let remote = Candidate { id_hash: 2, is_local: false, round_trip_ms: 100.0, ..local };
+/// let local = Candidate { id_hash: 1, is_local: true, region: 0, round_trip_ms: 1.0, slots: 2, load: 0,
+///     slowness: 1.0, failure_ratio: 0.0, refusal_ratio: 0.0, is_warm: true, is_available: true };
+/// let remote = Candidate { id_hash: 2, is_local: false, region: 1, round_trip_ms: 100.0, ..local };
 /// let view = PlacementView { candidates: &[local, remote], object: Some(9), warm_service_ms: 50.0,
-///     mean_service_ms: 50.0, max_load_per_slot: 3.0, local_weight: 5.0, random: 0 };
+///     mean_service_ms: 50.0, max_load_per_slot: 3.0, local_weight: 5.0, region_weights: &[], random: 0 };
 /// assert_eq!(place_request(&view).unwrap().ix, 0);
 /// let full = [Candidate { load: 6, ..local }, remote];
 /// assert_eq!(place_request(&PlacementView { candidates: &full, ..view }).unwrap().ix, 1);
@@ -245,7 +249,7 @@
         };
         let mut preferred: [Option<(f64, usize)>; PREFERRED_PER_OBJECT] = [None; PREFERRED_PER_OBJECT];
         for (ix, candidate) in view.candidates.iter().enumerate().filter(|(_, c)| c.is_available) {
-            let mut next = (rendezvous_score(object, candidate, view.local_weight), ix);
+            let mut next = (rendezvous_score(object, candidate, view), ix);
             for entry in &mut preferred {
                 match entry {
                     Some(better) if better.0 >= next.0 => {}
@@ -271,10 +275,11 @@
 
 // Weighted rendezvous hashing: a backend server scores highest for a fraction of objects equal to its
 // fraction of the weights.
-fn rendezvous_score(object: u64, candidate: &Candidate, local_weight: f64) -> f64 {
+fn rendezvous_score(object: u64, candidate: &Candidate, view: &PlacementView<'_>) -> f64 {
     const STEPS: f64 = (1_u64 << 53) as f64;
     const UNUSED_BITS: u32 = 11;
-    let weight = if candidate.is_local { local_weight } else { 1.0 };
+    let region_weight = view.region_weights.get(candidate.region).copied().unwrap_or(1.0);
+    let weight = region_weight * if candidate.is_local { view.local_weight } else { 1.0 };
     let uniform = ((mix(object ^ candidate.id_hash) >> UNUSED_BITS) as f64 + 0.5) / STEPS;
     -weight / uniform.ln()
 }
--- a/crates/burdock-decide/tests/place.rs
+++ b/crates/burdock-decide/tests/place.rs
@@ -87,6 +87,7 @@
         let candidate = |b: &Backend| Candidate {
             id_hash: b.id_hash,
             is_local: b.region == region,
+            region: b.region,
             round_trip_ms: if b.region == region { 1.0 } else { REMOTE_ROUND_TRIP_MS },
             slots: u32::try_from(SLOTS).unwrap(),
             load: u32::try_from(b.ends.iter().filter(|end| **end > now).count()).unwrap(),
@@ -104,6 +105,7 @@
             mean_service_ms: WARM_MS,
             max_load_per_slot: max_load_per_slot(2),
             local_weight: local_weight(0.0),
+            region_weights: &[],
             random,
         };
         outcome.sent += 1;
@@ -190,6 +192,7 @@
         mean_service_ms: 100.0,
         max_load_per_slot: 1.5,
         local_weight: local_weight(0.0),
+        region_weights: &[],
         random: 0,
     }
 }
@@ -199,6 +202,7 @@
     let healthy = Candidate {
         id_hash: 1,
         is_local: true,
+        region: 0,
         round_trip_ms: 1.0,
         slots: 6,
         load: 0,
@@ -240,6 +244,7 @@
             .map(|ix| Candidate {
                 id_hash: stable_hash(&ix.to_le_bytes(), 31),
                 is_local: ix % 3 == 0,
+                region: 0,
                 round_trip_ms: if ix % 3 == 0 { 1.0 } else { 40.0 },
                 slots: 9,
                 load: 2,
@@ -309,6 +314,7 @@
     let candidate = |ix: u64| Candidate {
         id_hash: stable_hash(&ix.to_le_bytes(), 31),
         is_local: ix < 4,
+        region: 0,
         round_trip_ms: if ix < 4 { 1.0 } else { REMOTE_ROUND_TRIP_MS },
         slots: 6,
         load: 0,
@@ -328,6 +334,7 @@
                 mean_service_ms: 2000.0,
                 max_load_per_slot: 1.5,
                 local_weight: local_weight(answer_bytes),
+                region_weights: &[],
                 random: 0,
             };
             place_request(&view).is_some_and(|placement| !candidates[placement.ix].is_local)
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -46,6 +46,8 @@
     AnswersCut => "answers.cut",
     /// Attempts after the first one of a request.
     Retries => "attempts.retries",
+    /// Changes of the plans that divide requests over regions.
+    PlanChanges => "plan.changes",
     /// Hedged attempts.
     Hedges => "attempts.hedges",
     /// Attempts not made because the retry budget was exhausted.
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -199,6 +199,7 @@
         Candidate {
             id_hash: self.hash,
             is_local,
+            region: self.region,
             round_trip_ms,
             slots: self.registered.slots,
             load: own.saturating_add(remote_in_flight.max(reported)),
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -177,6 +177,12 @@
         self.state.lock().summary(own, now)
     }
 
+    /// Returns how many instances report to this hub, and the sum of their demand by hash as in reports.
+    #[must_use]
+    pub fn service_demands(&self, now: Time) -> (usize, HashMap<u64, f32>) {
+        self.state.lock().service_demands(now)
+    }
+
     /// Grants up to `wanted` tokens for requests of an organisation.
     #[must_use]
     pub fn grant_tokens(
@@ -271,10 +277,20 @@
             in_flight: to_amounts(&in_flight),
             is_from_hub: true,
             slowness: self.slowness(None, now),
+            service_demands: to_amounts(&self.service_demands(now).1),
             ..TrafficReport::new(own.clone())
         }
     }
 
+    fn service_demands(&self, now: Time) -> (usize, HashMap<u64, f32>) {
+        let (mut count, mut sum) = (0, HashMap::new());
+        for received in self.reporters.values().filter(|r| now.since(r.received_at) < REPORT_TTL) {
+            count += 1;
+            add_amounts(&mut sum, &received.report.service_demands);
+        }
+        (count, sum)
+    }
+
     // Returns how slow backend servers are, by what instances of this region measured.
     fn slowness(&self, excluded: Option<&InstanceId>, now: Time) -> Vec<HashedAmount> {
         let is_fresh = |r: &&ReceivedReport| now.since(r.received_at) < REPORT_TTL;
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -11,7 +11,7 @@
 use crate::observe::counters::Counter;
 use crate::observe::line_writer;
 use crate::site::body::ResponseBody;
-use crate::site::{SiteNode, status};
+use crate::site::{SiteNode, plan, status};
 
 /// Path of the instance's status, as on the administration API of the project's own interface.
 const STATUS_PATH: &str = "/v1/status";
@@ -59,5 +59,7 @@
     for (name, value) in gauges {
         let _done = writeln!(text, "burdock_{name} {value}");
     }
-    text + &node.latency.answered.text("answered") + &node.latency.refused.text("refused")
+    text + &plan::metrics(node)
+        + &node.latency.answered.text("answered")
+        + &node.latency.refused.text("refused")
 }
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -16,6 +16,7 @@
 pub mod mirror;
 pub mod outbound;
 pub mod pipeline;
+pub mod plan;
 pub mod read_ahead;
 pub mod report;
 pub mod send;
@@ -55,6 +56,7 @@
 use crate::site::hub::Hub;
 use crate::site::invalid_entries::InvalidEntries;
 use crate::site::mirror::StoreMirror;
+use crate::site::plan::RegionPlans;
 use crate::site::table::BackendTable;
 
 /// One running instance of a deployment.
@@ -88,6 +90,8 @@
     pub peers: PeerClient,
     /// Hub of the region: merges the reports of its instances.
     pub hub: Hub,
+    /// How requests of each region are divided over the regions, and the demand that this follows from.
+    pub plans: RegionPlans,
     /// Tokens for forwarding requests of organisations.
     pub allowances: Allowances,
     /// Quarantine of requests that crashed backend servers.
@@ -169,6 +173,7 @@
             invalid_entries: InvalidEntries::default(),
             peers,
             hub: Hub::default(),
+            plans: RegionPlans::default(),
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
             answer_memory: AnswerMemory::default(),
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -11,7 +11,7 @@
 use futures::FutureExt;
 
 use crate::site::hub::FleetSize;
-use crate::site::{SiteNode, fleet, name_hash, sync};
+use crate::site::{SiteNode, fleet, name_hash, plan, sync};
 
 /// Time between two reports, in which an instance places a few requests at each backend server.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -42,7 +42,14 @@
             let accepts_packed = report.store.accepts_packed;
             node.quarantine.merge_strikes(&report.strikes, now);
             node.backends.merge_leaving(&report.leaving, now);
+            let asks_for_plan = !report.is_from_hub && !report.service_demands.is_empty();
+            if report.is_from_hub {
+                plan::record_region_demand(node, &report.sender, &report.service_demands);
+            }
             let mut answer = node.hub.record_report(&node.incarnation.instance, report, now);
+            if asks_for_plan {
+                (answer.splits, answer.service_demands) = plan::messages(node);
+            }
             answer.store = node.mirror.changes_since(revision, accepts_packed, now);
             answer.strikes = node.quarantine.recent_strikes(now);
             answer.leaving = node.backends.recently_leaving(now);
@@ -90,6 +97,7 @@
         strikes: node.quarantine.recent_strikes(now),
         leaving: node.backends.recently_leaving(now),
         slowness: node.backends.slowness(now),
+        service_demands: node.plans.demands(now),
         ..TrafficReport::new(node.incarnation.instance.clone())
     };
     let from = report.store.revision;
@@ -109,6 +117,7 @@
             node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
             node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
             node.backends.merge_leaving(&answer.leaving, node.clock.now());
+            plan::record_answer(node, &answer, node.clock.now());
             sync::apply_relayed(node, answer.store, now, from);
         }
         Err(e) => {
@@ -141,6 +150,7 @@
                     node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
                     node.backends.merge_leaving(&answer.leaving, node.clock.now());
                     sync::apply_relayed(node, std::mem::take(&mut answer.store), now, from);
+                    plan::record_region_demand(node, &answer.sender, &answer.service_demands);
                     node.hub.record_hub_answer(answer, node.clock.now());
                 }
                 Err(e) => {
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -78,6 +78,8 @@
     }
     let mut body = Some(body);
     node.deposit_retry(&service.name);
+    let weight = local_weight(node.mean_answer_bytes(outbound.route));
+    node.plans.record_request(&service.name, node.warm_service_ms(outbound.route), weight);
     loop {
         let now = node.clock.now();
         let copy = body.as_ref().and_then(RequestBody::try_clone);
@@ -206,6 +208,7 @@
         })
         .collect();
     let service_ms = node.warm_service_ms(outbound.route);
+    let plans = node.plans.current();
     loop {
         let view = PlacementView {
             candidates: &candidates,
@@ -215,6 +218,7 @@
             max_load_per_slot: max_load_per_slot(outbound.urgency)
                 + if outbound.earlier_wait.is_zero() { 0.0 } else { RETURNING_CALLER_LOAD_PER_SLOT },
             local_weight: local_weight(node.mean_answer_bytes(outbound.route)),
+            region_weights: plans.region_weights(&service.name),
             random: rand::random(),
         };
         let placement = place_request(&view)?;
--- a/crates/burdock-node/src/site/status.rs
+++ b/crates/burdock-node/src/site/status.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use crate::phase::Phase;
-use crate::site::SiteNode;
+use crate::site::{SiteNode, plan};
 
 /// Returns the status of the instance, with the reason if no configuration is in force or the newest one was
 /// rejected. Its fields are those of the project's own interface where both have them.
@@ -26,6 +26,7 @@
         })),
         "store_age_s": node.mirror.confirmed_at().map(|at| now.since(at).as_secs_f64()),
         "in_flight": node.in_flight(),
+        "region_plans": plan::status(node),
         "fleet": view.listed.iter().map(|i| json!({
             "instance": i.id,
             "region": i.region,
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -17,7 +17,7 @@
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::site::mirror::{MAX_RELAY_AGE, unpack_records};
-use crate::site::{RejectedConfig, SiteNode};
+use crate::site::{RejectedConfig, SiteNode, plan};
 
 /// Maximum wait of a watch call. A hub's relays are at most this old, plus a round trip to the store.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(700);
@@ -149,6 +149,7 @@
         let now = node.clock.now();
         node.backends.sweep(now);
         node.fleet.sweep(now);
+        plan::refresh(&node, now);
         node.quarantine.remove_stale(now);
     }
 }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -103,6 +103,18 @@
         backend.region == self.own_region
     }
 
+    /// Returns all regions in the order of their index.
+    #[must_use]
+    pub fn regions(&self) -> &[RegionName] {
+        &self.regions
+    }
+
+    /// Returns the index of the region of this instance.
+    #[must_use]
+    pub const fn own_region(&self) -> usize {
+        self.own_region
+    }
+
     /// Returns the region with an index, as in [`Backend::region`].
     #[must_use]
     pub fn region(&self, ix: usize) -> Option<&RegionName> {
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -94,7 +94,7 @@
     /// measured by all other instances.
     pub slowness: Vec<HashedAmount>,
     /// Busy slots that the requests for each service ask for: requests per second times their usual service
-    /// time in seconds.
+    /// time in seconds. In a hub's answer to an instance, the share of each region in them.
     pub service_demands: Vec<HashedAmount>,
     /// In a hub's answer, how the requests of its region are divided over regions.
     pub splits: Vec<ServiceSplit>,
