Use the pace that backend servers state

Cause: backend servers that share machines take 2.5 times as long in phases of about 600 ms and state so as the fourth figure of the load header, which was not read. The header was split by hand in the front end, where a figure that is no number shifted those behind it.

Change: `platform/src/load.rs` decodes the header into a type; figures that make no sense are left out and counted. Slots come from it. The expected pace falls back to usual with the age of the statement, by a length of phases that is learned; it counts as slowness in placement. Reports carry the statements that differ from usual, and hubs merge them by age.

Not measured on a deployment; no test sends the figure over a connection.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod membership;
 pub mod once;
+pub mod pace;
 pub mod pick;
 pub mod place;
 pub mod quarantine;
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -46,6 +46,8 @@
     AnswersCut => "answers.cut",
     /// Attempts after the first one of a request.
     Retries => "attempts.retries",
+    /// Load headers of backend servers with figures that make no sense.
+    InvalidLoads => "backend_loads.invalid",
     /// Changes of the plans that divide requests over regions.
     PlanChanges => "plan.changes",
     /// Hedged attempts.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -10,6 +10,7 @@
 use burdock_model::prelude::*;
 use burdock_model::site::Service;
 use burdock_platform::dialect::parse_retry_after;
+use burdock_platform::load::parse_load;
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::response::Parts;
 use http::{HeaderMap, Response, StatusCode};
@@ -178,9 +179,12 @@
         let Some(text) = headers.get(&dialect.backend_load).and_then(|v| v.to_str().ok()) else {
             return;
         };
-        let numbers: Vec<u32> = text.split(',').filter_map(|part| part.trim().parse().ok()).collect();
-        if let [running, waiting, ..] = numbers.as_slice() {
-            self.backend.record_load_report(running.saturating_add(*waiting), self.now());
+        let load = parse_load(text);
+        if load.is_none_or(|load| load.has_invalid_figure) {
+            self.node.counters.add(Counter::InvalidLoads);
+        }
+        if let Some(load) = load {
+            self.backend.record_load(&load, self.now());
         }
     }
 
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -11,10 +11,13 @@
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
 use burdock_model::site::RegisteredBackend;
+use burdock_platform::load::StatedLoad;
+use burdock_wire::messages::StatedPace;
 use parking_lot::Mutex;
 
 use crate::forward::pool::Pool;
 use crate::site::name_hash;
+use crate::site::pace::{BackendPace, LearnedPhases};
 
 /// Weight of a new measurement in the moving averages.
 const SAMPLE_SMOOTHING: f64 = 0.2;
@@ -56,6 +59,7 @@
     remote_in_flight: AtomicU32,
     // Bits of an `f32`.
     remote_slowness: AtomicU32,
+    slots: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -70,6 +74,7 @@
     cold_until: Time,
     cold_bucket: Option<Bucket>,
     load_report: Option<(u32, Time)>,
+    pace: BackendPace,
     // Until then the backend server wants no requests from this instance.
     turned_away_until: Option<Time>,
 }
@@ -77,7 +82,7 @@
 impl Backend {
     /// Creates the state of a backend server that has just registered.
     #[must_use]
-    pub fn new(registered: RegisteredBackend, region: usize, now: Time) -> Self {
+    pub fn new(registered: RegisteredBackend, region: usize, phases: Arc<LearnedPhases>, now: Time) -> Self {
         let state = State {
             slowness: 1.0,
             failure_ratio: 0.0,
@@ -88,6 +93,7 @@
             cold_until: now,
             cold_bucket: None,
             load_report: None,
+            pace: BackendPace::new(phases),
             turned_away_until: None,
         };
         Self {
@@ -99,6 +105,7 @@
             in_flight: AtomicU32::new(0),
             remote_in_flight: AtomicU32::new(0),
             remote_slowness: AtomicU32::new(USUAL_SLOWNESS.to_bits()),
+            slots: AtomicU32::new(registered.slots),
             state: Mutex::new(state),
             registered,
         }
@@ -201,9 +208,11 @@
             is_local,
             region: self.region,
             round_trip_ms,
-            slots: self.registered.slots,
+            slots: self.slots(),
             load: own.saturating_add(remote_in_flight.max(reported)),
-            slowness: (1.0 + (state.slowness - 1.0) * remaining).max(self.remote_slowness()),
+            slowness: (1.0 + (state.slowness - 1.0) * remaining)
+                .max(self.remote_slowness())
+                .max(state.pace.expected(now)),
             failure_ratio: state.failure_ratio * remaining,
             refusal_ratio: state.refusal_ratio * remaining,
             is_warm: false,
@@ -255,16 +264,54 @@
         f64::from(f32::from_bits(self.remote_slowness.load(Ordering::Relaxed)))
     }
 
-    /// Records the backend server's own report of how many requests run and wait there.
-    pub fn record_load_report(&self, total: u32, now: Time) {
+    /// Returns how many requests the backend server runs at once, as it last stated or registered.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.slots.load(Ordering::Relaxed)
+    }
+
+    /// Records what the backend server stated of its load.
+    pub fn record_load(&self, load: &StatedLoad, now: Time) {
+        if let Some(slots) = load.slots {
+            let known = self.slots.swap(slots, Ordering::Relaxed);
+            if known != slots {
+                log::info!(backend = self.registered.id.as_str(), slots = slots, known = known;
+                    "backend server states other slots");
+            }
+        }
+        let total = load.running.saturating_add(load.waiting);
         let others = total.saturating_sub(self.own_in_flight());
-        self.state.lock().load_report = Some((others, now));
+        let mut state = self.state.lock();
+        state.load_report = Some((others, now));
+        if let Some(pace) = load.pace {
+            state.pace.record_own(pace, now);
+        }
+    }
+
+    /// Returns what the backend server stated of its pace, if other instances have to know it.
+    #[must_use]
+    pub fn reported_pace(&self, now: Time) -> Option<StatedPace> {
+        self.state.lock().pace.reported(self.hash, now)
+    }
+
+    /// Records what the backend server stated to another instance.
+    pub fn record_told_pace(&self, pace: &StatedPace, now: Time) {
+        let at = now - Duration::from_millis(u64::from(pace.age_ms));
+        self.state.lock().pace.record_told(f64::from(pace.percent) / 100.0, at);
+    }
+
+    /// Returns the time that work is expected to take there now, relative to the usual time.
+    #[must_use]
+    pub fn expected_pace(&self, now: Time) -> f64 {
+        self.state.lock().pace.expected(now)
     }
 
     /// Records an answer: its time relative to the expected one, and whether it was a success.
     pub fn record_answer(&self, slowness: f64, is_success: bool, now: Time) {
         let mut state = self.state.lock();
         let (min, max) = SLOWNESS_RANGE;
+        // A slow phase that the backend server states ends with it, and must not count for longer.
+        let slowness = slowness.min((slowness / state.pace.expected(now).max(1.0)).max(1.0));
         state.slowness += (slowness.clamp(min, max) - state.slowness) * SAMPLE_SMOOTHING;
         state.failure_ratio += (f64::from(u8::from(!is_success)) - state.failure_ratio) * SAMPLE_SMOOTHING;
         state.refusal_ratio -= state.refusal_ratio * SAMPLE_SMOOTHING;
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -14,9 +14,10 @@
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, allowance_weight};
-use burdock_wire::messages::{HashedAmount, PeerAddress, TokenGrant, TrafficReport};
+use burdock_wire::messages::{HashedAmount, PeerAddress, StatedPace, TokenGrant, TrafficReport};
 use parking_lot::Mutex;
 
+use crate::site::pace::newest_paces;
 use crate::site::{SiteNode, name_hash, report};
 
 /// Time after which a hub that did not answer is called again.
@@ -163,7 +164,8 @@
         let remote_in_flight =
             if places_requests { to_amounts(&state.in_flight(Some(&sender), now)) } else { Vec::new() };
         let slowness = if places_requests { state.slowness(Some(&sender), now) } else { Vec::new() };
-        TrafficReport { in_flight: remote_in_flight, slowness, ..TrafficReport::new(own.clone()) }
+        let paces = if places_requests { state.paces(Some(&sender), now) } else { Vec::new() };
+        TrafficReport { in_flight: remote_in_flight, slowness, paces, ..TrafficReport::new(own.clone()) }
     }
 
     /// Records another hub's answer to this hub's summary.
@@ -278,6 +280,7 @@
             is_from_hub: true,
             slowness: self.slowness(None, now),
             service_demands: to_amounts(&self.service_demands(now).1),
+            paces: self.paces(None, now),
             ..TrafficReport::new(own.clone())
         }
     }
@@ -291,6 +294,15 @@
         (count, sum)
     }
 
+    // Returns what instances of this region were told of the pace of backend servers; for an answer to one of
+    // them also those of other regions.
+    fn paces(&self, excluded: Option<&InstanceId>, now: Time) -> Vec<StatedPace> {
+        let reporters = self.reporters.iter().filter(|(id, _)| Some(*id) != excluded).map(|(_, r)| r);
+        let of_hubs = self.hubs.values().filter(|_| excluded.is_some());
+        let fresh = reporters.chain(of_hubs).filter(|r| now.since(r.received_at) < REPORT_TTL);
+        newest_paces(fresh.map(|r| (now.since(r.received_at), r.report.paces.as_slice())))
+    }
+
     // Returns how slow backend servers are, by what instances of this region measured.
     fn slowness(&self, excluded: Option<&InstanceId>, now: Time) -> Vec<HashedAmount> {
         let is_fresh = |r: &&ReceivedReport| now.since(r.received_at) < REPORT_TTL;
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -45,6 +45,7 @@
     }
     let now = node.clock.now();
     let store_age = node.mirror.confirmed_at().map_or(-1.0, |at| now.since(at).as_secs_f64());
+    let (slow_backends, phase_length) = node.backends.slow_backends(now);
     let gauges = [
         ("config_version", node.config.load().published.version as f64),
         ("config_age_s", node.config_age(now).map_or(-1.0, |age| age.as_secs_f64())),
@@ -54,6 +55,8 @@
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
         ("store_age_s", store_age),
+        ("backends_slow", slow_backends as f64),
+        ("slow_phase_ms", phase_length.as_secs_f64() * 1e3),
         ("log_lines_dropped", line_writer::dropped() as f64),
     ];
     for (name, value) in gauges {
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod outbound;
+pub mod pace;
 pub mod pipeline;
 pub mod plan;
 pub mod read_ahead;
--- a/crates/burdock-node/src/site/plan.rs
+++ b/crates/burdock-node/src/site/plan.rs
@@ -403,7 +403,7 @@
     for (service, backends) in &node.backends.usable().services {
         let mut by_region = vec![0.0; regions];
         for backend in backends {
-            by_region[backend.region] += f64::from(backend.registered.slots);
+            by_region[backend.region] += f64::from(backend.slots());
         }
         slots.insert(service.clone(), by_region);
     }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -9,10 +9,11 @@
 use burdock_model::prelude::*;
 use burdock_model::site::{RegisteredBackend, SiteConfigIndex};
 use burdock_model::site_settings::SiteSettings;
-use burdock_wire::messages::{HashedAmount, LeavingRun};
+use burdock_wire::messages::{HashedAmount, LeavingRun, StatedPace};
 use parking_lot::Mutex;
 
 use crate::site::backend::Backend;
+use crate::site::pace::LearnedPhases;
 
 /// Time for which a backend server stays in use after its entry lapsed in an outage of the store. Live
 /// backend servers register again within about two seconds of the outage's end.
@@ -39,6 +40,7 @@
     zones: BTreeMap<ZoneName, RegionName>,
     state: Mutex<State>,
     usable: ArcSwap<UsableBackends>,
+    phases: Arc<LearnedPhases>,
 }
 
 #[derive(Debug, Default)]
@@ -88,6 +90,7 @@
             zones: settings.regions.clone(),
             state: Mutex::default(),
             usable: ArcSwap::default(),
+            phases: Arc::default(),
         }
     }
 
@@ -321,6 +324,35 @@
         }
     }
 
+    /// Returns what backend servers stated of their pace that other instances have to know.
+    #[must_use]
+    pub fn paces(&self, now: Time) -> Vec<StatedPace> {
+        self.state.lock().entries.values().filter_map(|e| e.backend.reported_pace(now)).collect()
+    }
+
+    /// Records what backend servers stated of their pace to other instances.
+    pub fn record_told_paces(&self, paces: &[StatedPace], now: Time) {
+        if paces.is_empty() {
+            return;
+        }
+        let paces: HashMap<u64, &StatedPace> = paces.iter().map(|p| (p.backend_hash, p)).collect();
+        for entry in self.state.lock().entries.values() {
+            if let Some(pace) = paces.get(&entry.backend.hash()) {
+                entry.backend.record_told_pace(pace, now);
+            }
+        }
+    }
+
+    /// Returns how many backend servers are expected to be slow now, and the learned length of slow phases.
+    #[must_use]
+    pub fn slow_backends(&self, now: Time) -> (usize, Duration) {
+        /// Expected pace from which a backend server counts as slow.
+        const SLOW: f64 = 1.25;
+        let state = self.state.lock();
+        let count = state.entries.values().filter(|e| e.backend.expected_pace(now) >= SLOW).count();
+        (count, self.phases.mean())
+    }
+
     fn register(
         &self,
         state: &mut State,
@@ -360,7 +392,7 @@
             }
             return;
         }
-        let backend = Arc::new(Backend::new(registered.clone(), region, now));
+        let backend = Arc::new(Backend::new(registered.clone(), region, Arc::clone(&self.phases), now));
         let cold = if came_back { cold_time(config, registered) } else { Duration::ZERO };
         backend.mark_cold(cold.max(registered.remaining_cold_time), now);
         if state.is_loaded {
