Keep lightly loaded regions local, and count pace in the plan between regions

Cause: the plan moved requests out of a region whatever the load, dropped the demand of a region at once when its instances were gone for a moment, as in a restart, and took no account of slow backend servers. A hub that had been one before took the time since then as measured.

Change: below 0.25 busy slots for each slot nothing is passed on; demand of a region without instances fades over a minute; slots count by the pace of their backend servers, averaged; a measurement counts for a second at most. A test sends the load header over connections and reports.

Network delay still enters only by the local weight.

--- a/crates/burdock-decide/src/region_plan.rs
+++ b/crates/burdock-decide/src/region_plan.rs
@@ -10,6 +10,10 @@
 /// equals the weights without one.
 const TOLERANCE: f64 = 0.1;
 
+/// Load for each slot up to which a region need not pass on requests, counted as if all objects were warm. With
+/// cold ones it is about twice as high.
+const LIGHT_LOAD: f64 = 0.25;
+
 /// Swing of a home region's demand that a region's load must stand, as a fraction of that demand. A region that
 /// takes most of its requests from one home region gets less, since its load swings more.
 const DEMAND_SWING: f64 = 0.5;
@@ -42,7 +46,7 @@
 pub struct PlanRegion {
     /// Demand of the callers there, in any unit that is the same for all regions.
     pub demand: f64,
-    /// Slots of the usable backend servers there.
+    /// Slots of the usable backend servers there, less what they lose by a slow pace.
     pub slots: f64,
 }
 
@@ -79,17 +83,19 @@
 }
 
 /// Returns the plan for a service whose backend servers weigh `local_weight` for requests of their own region
-/// and 1 for others.
+/// and 1 for others, with a demand of `mean_load` busy slots for each slot of all regions.
 ///
 /// ```
 /// use burdock_decide::region_plan::{PlanRegion, plan_weights};
 /// let region = |slots| PlanRegion { demand: 1.0, slots };
-/// assert!(plan_weights(&[region(900.0), region(950.0)], 5.0).is_even());
-/// let weights = plan_weights(&[region(200.0), region(1000.0)], 5.0).weights();
+/// assert!(plan_weights(&[region(900.0), region(950.0)], 5.0, 0.4).is_even());
+/// let uneven = [region(200.0), region(1000.0)];
+/// let weights = plan_weights(&uneven, 5.0, 0.4).weights();
 /// assert!(weights[0] < 0.7 && weights[1] == 1.0);
+/// assert!(plan_weights(&uneven, 5.0, 0.05).is_even());
 /// ```
 #[must_use]
-pub fn plan_weights(regions: &[PlanRegion], local_weight: f64) -> PlanWeights {
+pub fn plan_weights(regions: &[PlanRegion], local_weight: f64, mean_load: f64) -> PlanWeights {
     let mut weights = vec![1.0; regions.len()];
     let Some(loads) = relative_loads(regions, &weights, local_weight) else {
         return PlanWeights::even(regions.len());
@@ -97,6 +103,7 @@
     let excess = loads.iter().copied().fold(0.0, f64::max) - 1.0;
     // Falls from the tolerance to zero, so that the plan begins without a jump.
     let max_load = 1.0 + (2.0 * TOLERANCE - excess).clamp(0.0, TOLERANCE);
+    let max_load = max_load.max(LIGHT_LOAD / mean_load);
     for _ in 0..ITERATIONS {
         let Some(loads) = relative_loads(regions, &weights, local_weight) else {
             break;
--- a/crates/burdock-decide/tests/region_plan.rs
+++ b/crates/burdock-decide/tests/region_plan.rs
@@ -9,6 +9,9 @@
 
 const LOCAL_WEIGHT: f64 = 5.0;
 
+/// Demand of `agenda` with warm objects, for each slot.
+const MEAN_LOAD: f64 = 0.31;
+
 /// Slots of `agenda` in the regions of the conferences, 9 for each backend server.
 const SLOTS: [f64; 3] = [216.0, 1044.0, 882.0];
 
@@ -45,7 +48,8 @@
 // Guards against a region whose backend servers get 1.4 times the mean load, and twice the mean in a swing.
 #[gtest]
 fn small_region_gets_what_it_can_take() {
-    let (without, plan) = (PlanWeights::even(3), plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT));
+    let (without, plan) =
+        (PlanWeights::even(3), plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT, MEAN_LOAD));
     let mean_load = |plan| max(loads(&equal_demand(&SLOTS), plan, LOCAL_WEIGHT));
     expect_that!(mean_load(&without), gt(1.4));
     expect_that!(mean_load(&plan), lt(1.05));
@@ -62,7 +66,8 @@
 #[gtest]
 fn large_answers_stay_nearer_within_what_the_region_can_take() {
     let regions = equal_demand(&SLOTS);
-    let (small, large) = (plan_weights(&regions, LOCAL_WEIGHT), plan_weights(&regions, 15.0));
+    let (small, large) =
+        (plan_weights(&regions, LOCAL_WEIGHT, MEAN_LOAD), plan_weights(&regions, 15.0, MEAN_LOAD));
     expect_that!(max(loads(&regions, &PlanWeights::even(3), 15.0)), gt(2.0));
     expect_that!(max(loads(&regions, &large, 15.0)), lt(1.1));
     for home in 1..3 {
@@ -77,17 +82,30 @@
     for slots in
         [vec![80.0, 80.0, 78.0], vec![70.0, 80.0, 75.0], vec![54.0, 54.0], vec![12.0], vec![], vec![0.0, 9.0]]
     {
-        expect_that!(plan_weights(&equal_demand(&slots), LOCAL_WEIGHT).is_even(), eq(true), "{slots:?}");
+        expect_that!(
+            plan_weights(&equal_demand(&slots), LOCAL_WEIGHT, MEAN_LOAD).is_even(),
+            eq(true),
+            "{slots:?}"
+        );
     }
     let idle = SLOTS.map(|slots| PlanRegion { demand: 0.0, slots });
-    expect_that!(plan_weights(&idle, LOCAL_WEIGHT).is_even(), eq(true));
+    expect_that!(plan_weights(&idle, LOCAL_WEIGHT, MEAN_LOAD).is_even(), eq(true));
+}
+
+// Requests that leave their region take a round trip more, for nothing while its backend servers are idle.
+#[gtest]
+fn lightly_loaded_region_keeps_its_requests() {
+    let regions = equal_demand(&SLOTS);
+    expect_that!(plan_weights(&regions, LOCAL_WEIGHT, 0.1).is_even(), eq(true));
+    let (some, full) = (plan_weights(&regions, LOCAL_WEIGHT, 0.2), plan_weights(&regions, LOCAL_WEIGHT, 0.3));
+    expect_that!(some.weights()[0], all!(gt(full.weights()[0]), lt(1.0)));
 }
 
 // Guards against a plan that follows the swing: each change moves objects, which are cold where they arrive.
 #[gtest]
 fn plan_does_not_follow_the_swing() {
     let mut shares = vec![1.0 / 3.0; 3];
-    let mut plan = plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT);
+    let mut plan = plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT, MEAN_LOAD);
     let first = plan.clone();
     let mut moved = 0.0;
     for step in 0..120 {
@@ -106,9 +124,9 @@
 // A region's callers that go elsewhere for good, as when a region is lost, change the plan in small steps.
 #[gtest]
 fn lasting_change_moves_few_requests_at_a_time() {
-    let mut plan = plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT);
+    let mut plan = plan_weights(&equal_demand(&SLOTS), LOCAL_WEIGHT, MEAN_LOAD);
     let shares = [0.0, 0.2, 0.8];
-    let desired = plan_weights(&with_shares(&shares), LOCAL_WEIGHT);
+    let desired = plan_weights(&with_shares(&shares), LOCAL_WEIGHT, MEAN_LOAD);
     let mut steps = 0;
     while max_shift(&plan, &desired) > 0.04 && steps < 50 {
         let next = advance(&shares, &plan);
@@ -125,7 +143,7 @@
 
 fn advance(shares: &[f64], plan: &PlanWeights) -> PlanWeights {
     let regions = with_shares(shares);
-    next_plan(&regions, LOCAL_WEIGHT, plan, &plan_weights(&regions, LOCAL_WEIGHT))
+    next_plan(&regions, LOCAL_WEIGHT, plan, &plan_weights(&regions, LOCAL_WEIGHT, MEAN_LOAD))
 }
 
 // Largest fraction of a region's requests that another plan moves.
--- a/crates/burdock-node/src/site/plan.rs
+++ b/crates/burdock-node/src/site/plan.rs
@@ -41,6 +41,13 @@
 /// Total demand in busy slots from which its division over regions says something of their callers.
 const MIN_TOTAL_DEMAND: f64 = 1.0;
 
+/// Demand for each slot that is assumed until it was measured: enough for the plan to matter.
+const INITIAL_MEAN_LOAD: f64 = 0.4;
+
+/// Longest time that one measurement of demand stands for, in seconds. An instance that becomes the hub again has
+/// measured nothing in between.
+const MAX_LEARNED_TIME_S: f64 = 1.0;
+
 /// The local weight depends on the size of answers, which does not swing, so it is learned faster than demand.
 const LOCAL_WEIGHT_SPEED: f64 = 6.0;
 
@@ -74,16 +81,28 @@
 struct ServicePlan {
     weights: PlanWeights,
     slots: Vec<f64>,
+    // Moving average of the work that the backend servers of each region do, relative to usual.
+    speeds: Vec<f64>,
     // Moving average of each region's share of the demand.
     shares: Vec<f64>,
     // Moving average of the local weights of requests.
     local_weight: f64,
+    // Moving average of the total demand for each slot.
+    mean_load: f64,
     // Whether the plan has ever differed from the weights without one, so that the hub has to send it.
     is_sent: bool,
     received_at: Option<Time>,
     stepped_at: Option<Time>,
 }
 
+/// Slots of a service in one region.
+#[derive(Clone, Copy, Debug, Default)]
+struct RegionSlots {
+    slots: f64,
+    // Slots that would do as much at the usual pace.
+    usual_slots: f64,
+}
+
 #[derive(Debug, Default)]
 struct MeasuredDemand {
     busy_s: f64,
@@ -170,8 +189,10 @@
         Self {
             weights: PlanWeights::even(regions),
             slots: vec![0.0; regions],
+            speeds: vec![1.0; regions],
             shares: vec![1.0 / regions.max(1) as f64; regions],
             local_weight: local_weight(0.0),
+            mean_load: INITIAL_MEAN_LOAD,
             is_sent: false,
             received_at: None,
             stepped_at: None,
@@ -183,21 +204,18 @@
         self.received_at.is_some_and(|at| now.since(at) < PLAN_TTL)
     }
 
-    // Returns the regions with the demand of those that have instances.
-    fn regions(&self, homes: &[bool]) -> Vec<PlanRegion> {
-        let parts = self.slots.iter().zip(&self.shares).zip(homes);
-        parts
-            .map(|((slots, share), is_home)| PlanRegion {
-                slots: *slots,
-                demand: if *is_home { *share } else { 0.0 },
-            })
-            .collect()
+    fn regions(&self) -> Vec<PlanRegion> {
+        let parts = self.slots.iter().zip(&self.speeds).zip(&self.shares);
+        parts.map(|((slots, speed), share)| PlanRegion { slots: slots * speed, demand: *share }).collect()
+    }
+
+    fn desired_weights(&self) -> PlanWeights {
+        plan_weights(&self.regions(), self.local_weight, self.mean_load)
     }
 
     // Returns the plan that every instance computes alike: with equal demand and the smallest local weight.
-    fn initial_weights(&self, homes: &[bool]) -> PlanWeights {
-        let equal = Self { slots: self.slots.clone(), ..Self::new(self.slots.len()) };
-        plan_weights(&equal.regions(homes), equal.local_weight)
+    fn initial_weights(&self) -> PlanWeights {
+        Self { slots: self.slots.clone(), ..Self::new(self.slots.len()) }.desired_weights()
     }
 
     fn learn(&mut self, demands: &[f64], weighted_demand: f64, elapsed_s: f64) {
@@ -208,21 +226,22 @@
         update_shares(&mut self.shares, demands, elapsed_s);
         let mean = (weighted_demand / total).max(local_weight(0.0));
         self.local_weight += (mean - self.local_weight) * smoothing(elapsed_s * LOCAL_WEIGHT_SPEED);
+        let slots: f64 = self.slots.iter().sum();
+        self.mean_load += (total / slots.max(1.0) - self.mean_load) * smoothing(elapsed_s);
     }
 
     // Advances the plan by one step if it is time. Returns whether it has changed.
-    fn advance(&mut self, homes: &[bool], is_settled: bool, now: Time) -> bool {
+    fn advance(&mut self, is_settled: bool, now: Time) -> bool {
         if self.stepped_at.is_some_and(|at| is_settled && now.since(at) < STEP_INTERVAL) {
             return false;
         }
-        let regions = self.regions(homes);
-        let desired = plan_weights(&regions, self.local_weight);
+        let desired = self.desired_weights();
         // The first plan follows the backend servers as they register.
         let is_first = self.stepped_at.is_none() && self.received_at.is_none();
         let next = if is_first || !is_settled {
             desired
         } else {
-            next_plan(&regions, self.local_weight, &self.weights, &desired)
+            next_plan(&self.regions(), self.local_weight, &self.weights, &desired)
         };
         self.stepped_at = Some(now);
         let is_changed = next != self.weights;
@@ -235,27 +254,31 @@
 pub fn refresh(node: &SiteNode, now: Time) {
     let is_hub = node.hub.hub_of(node, &node.settings.region).is_none();
     let is_settled = FleetSize::of(node).is_settled;
-    let homes = home_regions(node, is_settled);
-    let slots = slots_by_service(node);
+    let slots = slots_by_service(node, now);
     let mut state = node.plans.state.lock();
     state.services.retain(|service, _| slots.contains_key(service));
-    for (service, slots) in slots {
-        let plan = state.services.entry(service).or_insert_with(|| ServicePlan::new(slots.len()));
-        plan.slots = slots;
+    let elapsed_s = now.since(state.learned_at).as_secs_f64().min(MAX_LEARNED_TIME_S);
+    state.learned_at = now;
+    for (service, regions) in slots {
+        let plan = state.services.entry(service).or_insert_with(|| ServicePlan::new(regions.len()));
+        plan.slots = regions.iter().map(|region| region.slots).collect();
+        for (speed, region) in plan.speeds.iter_mut().zip(&regions).filter(|(_, r)| r.slots > 0.0) {
+            *speed += (region.usual_slots / region.slots - *speed) * smoothing(elapsed_s);
+        }
     }
     if is_hub {
-        learn_demands(node, &mut state, &homes, now);
+        learn_demands(node, &mut state, &home_regions(node, is_settled), elapsed_s, now);
     }
     for (service, plan) in &mut state.services {
         if is_hub {
-            if plan.advance(&homes, is_settled, now) {
+            if plan.advance(is_settled, now) {
                 node.counters.add(Counter::PlanChanges);
                 log::info!(service = service.as_str(), weights:? = plan.weights.weights(),
-                    demand_shares:? = plan.shares, slots:? = plan.slots, local_weight = plan.local_weight;
+                    demand_shares:? = plan.shares, slots:? = plan.slots, local_weight = plan.local_weight, mean_load = plan.mean_load;
                     "plan between regions changed");
             }
         } else if !plan.is_received(now) {
-            plan.weights = plan.initial_weights(&homes);
+            plan.weights = plan.initial_weights();
         }
         plan.is_sent |= !plan.weights.is_even();
     }
@@ -299,6 +322,7 @@
             *share = learned(share_hash(service, region)).unwrap_or(*share);
         }
         plan.local_weight = learned(local_weight_hash(service)).unwrap_or(plan.local_weight);
+        plan.mean_load = learned(mean_load_hash(service)).unwrap_or(plan.mean_load);
     }
     node.plans.publish(&state);
 }
@@ -316,6 +340,7 @@
         let shares = regions.iter().zip(&plan.shares);
         averages.extend(shares.map(|(region, share)| amount(share_hash(service, region), *share)));
         averages.push(amount(local_weight_hash(service), plan.local_weight));
+        averages.push(amount(mean_load_hash(service), plan.mean_load));
     }
     (splits, averages)
 }
@@ -325,11 +350,9 @@
 #[must_use]
 pub fn status(node: &SiteNode) -> Value {
     let regions = node.backends.regions();
-    let homes = home_regions(node, FleetSize::of(node).is_settled);
     let state = node.plans.state.lock();
     let plans = state.services.iter().map(|(service, plan)| {
-        let split =
-            split_of(&plan.regions(&homes), &plan.weights, plan.local_weight, node.backends.own_region());
+        let split = split_of(&plan.regions(), &plan.weights, plan.local_weight, node.backends.own_region());
         let weights = plan.weights.weights();
         let by_region = regions.iter().enumerate().map(|(ix, region)| {
             let status = json!({
@@ -364,16 +387,13 @@
 // Moves the averages of all plans towards the newest demand of each region. A region whose hub is silent counts
 // with its last demand; until all are known, the averages stay as they are. A hub that sees only a few of the
 // instances of its region doesn't know the region's demand.
-fn learn_demands(node: &SiteNode, state: &mut State, homes: &[bool], now: Time) {
-    let elapsed_s = now.since(state.learned_at).as_secs_f64();
-    let is_first = state.learned_at == Time::default();
-    state.learned_at = now;
+fn learn_demands(node: &SiteNode, state: &mut State, homes: &[bool], elapsed_s: f64, now: Time) {
     let (reporters, own_demands) = node.hub.service_demands(now);
     let listed = node.fleet.view().hubs(&node.settings.region).count();
     let own_region = node.backends.own_region();
     let is_known = |ix: usize| ix == own_region || state.region_demands.contains_key(&ix);
     let is_any_unknown = homes.iter().enumerate().any(|(ix, is_home)| *is_home && !is_known(ix));
-    if is_first || is_any_unknown || reporters * 2 < listed {
+    if is_any_unknown || reporters * 2 < listed {
         return;
     }
     let demand = |ix: usize, hash: u64| {
@@ -389,7 +409,9 @@
     }
 }
 
-// Returns whether each region has instances. Until the list is complete, all are assumed to have some.
+// Returns whether each region has instances. Until the list is complete, all are assumed to have some. One
+// without instances has no demand, and its last one is forgotten as gradually as others change, since it may come
+// back in seconds.
 fn home_regions(node: &SiteNode, is_settled: bool) -> Vec<bool> {
     let view = node.fleet.view();
     let has_instances = |region: &RegionName| view.hubs(region).next().is_some();
@@ -397,13 +419,15 @@
     node.backends.regions().iter().map(|region| !is_complete || has_instances(region)).collect()
 }
 
-fn slots_by_service(node: &SiteNode) -> HashMap<ServiceName, Vec<f64>> {
+fn slots_by_service(node: &SiteNode, now: Time) -> HashMap<ServiceName, Vec<RegionSlots>> {
     let regions = node.backends.regions().len();
     let mut slots = HashMap::new();
     for (service, backends) in &node.backends.usable().services {
-        let mut by_region = vec![0.0; regions];
+        let mut by_region = vec![RegionSlots::default(); regions];
         for backend in backends {
-            by_region[backend.region] += f64::from(backend.slots());
+            let slots = f64::from(backend.slots());
+            by_region[backend.region].slots += slots;
+            by_region[backend.region].usual_slots += slots / backend.expected_pace(now);
         }
         slots.insert(service.clone(), by_region);
     }
@@ -430,6 +454,10 @@
     name_hash(&format!("{service}\n{region}"))
 }
 
+fn mean_load_hash(service: &ServiceName) -> u64 {
+    name_hash(&format!("{service}\nmean load"))
+}
+
 fn local_weight_hash(service: &ServiceName) -> u64 {
     name_hash(&format!("{service}\nlocal weight"))
 }
--- a/crates/burdock-node/tests/site_pace.rs
+++ b/crates/burdock-node/tests/site_pace.rs
@@ -1,5 +1,7 @@
 //! Pace and slots that backend servers state, and how instances tell each other of them.
 
+mod site_support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use burdock_platform::load::parse_load;
 use burdock_wire::messages::{HashedAmount, StatedPace, TrafficReport};
 use googletest::prelude::*;
+use site_support::{Site, raw};
 
 fn backend() -> Backend {
     let registered = RegisteredBackend {
@@ -120,3 +123,34 @@
     instance.record_told_pace(&StatedPace { backend_hash: 7, percent: 250, age_ms: 200 }, at(1000));
     expect_that!(slowness(&instance, 1000), all!(gt(1.5), lt(2.5)));
 }
+
+// The whole way: header of a response, report to the hub, answer to an instance that sent the backend server nothing.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_learn_pace_and_slots_from_each_others_responses() {
+    let site = Site::start(2, 0).await;
+    let slow = raw::Backend::start(|id| {
+        let load = "X-Burdockcroft-Server-Load: 1,0,4,250\r\n";
+        vec![(Duration::ZERO, raw::build_answer_with(&id, "200 OK", load, "ok"))]
+    })
+    .await;
+    let silent =
+        raw::Backend::start(|id| vec![(Duration::ZERO, raw::build_answer_with(&id, "200 OK", "", "ok"))])
+            .await;
+    site.register("quotes-raw", "quotes", slow.address);
+    site.register("valves-raw", "valves", silent.address);
+    let slow_count = |ix: usize| {
+        let node = &site.instances[ix].node;
+        node.backends.slow_backends(node.clock.now()).0
+    };
+    let key = ("x-burdockcroft-key", "key-of-farm");
+    site.wait_until(async || {
+        let _answer = site.get(0, "/quotes/1", &[key]).await;
+        // Paces are told only to instances that place requests.
+        let _answer = site.get(1, "/valves/1", &[key]).await;
+        slow_count(0) == 1 && slow_count(1) == 1
+    })
+    .await;
+    let usable = site.instances[0].node.backends.usable();
+    expect_that!(usable.services[&ServiceName::new("quotes").unwrap()][0].slots(), eq(4));
+}
--- a/crates/burdock-node/tests/site_plan.rs
+++ b/crates/burdock-node/tests/site_plan.rs
@@ -118,8 +118,14 @@
     for other in &others {
         plan::record_region_demand(&hub, other, &demand(100.0));
     }
+    // Before the list of instances is complete, an instance takes itself for the hub. The time since then must not
+    // count as measured by it when it becomes the hub.
+    instance.hub.mark_unreachable(&InstanceId::new("hub").unwrap(), Time(1));
     plan::refresh(&instance, Time::from_millis(10));
     let first = weights(&instance);
+    for other in &others {
+        plan::record_region_demand(&instance, other, &demand(1000.0));
+    }
     // The other hubs are silent from now on, so that their last demand counts.
     run_hub(&hub, 1, 120, 400.0);
     expect_that!(weights(&hub)[0], lt(first[0] * 0.9));
