--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -11,7 +11,7 @@
 use crate::observe::counters::Counter;
 use crate::observe::line_writer;
 use crate::site::body::ResponseBody;
-use crate::site::{SiteNode, status};
+use crate::site::{SiteNode, plan, status};
 
 /// Path of the instance's status, as on the administration API of the project's own interface.
 const STATUS_PATH: &str = "/v1/status";
@@ -45,6 +45,7 @@
     }
     let now = node.clock.now();
     let store_age = node.mirror.confirmed_at().map_or(-1.0, |at| now.since(at).as_secs_f64());
+    let (slow_backends, phase_length) = node.backends.slow_backends(now);
     let gauges = [
         ("config_version", node.config.load().published.version as f64),
         ("config_age_s", node.config_age(now).map_or(-1.0, |age| age.as_secs_f64())),
@@ -54,10 +55,14 @@
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
         ("store_age_s", store_age),
+        ("backends_slow", slow_backends as f64),
+        ("slow_phase_ms", phase_length.as_secs_f64() * 1e3),
         ("log_lines_dropped", line_writer::dropped() as f64),
     ];
     for (name, value) in gauges {
         let _done = writeln!(text, "burdock_{name} {value}");
     }
-    text + &node.latency.answered.text("answered") + &node.latency.refused.text("refused")
+    text + &plan::metrics(node)
+        + &node.latency.answered.text("answered")
+        + &node.latency.refused.text("refused")
 }
