End the computation of a plan once no region is over its load

Cause: an even deployment ran all 60 iterations for each service every 250 ms at each instance, some of which have 0.07 cores.

Change: iterations end when the excess is below a step of a weight.

--- a/crates/burdock-decide/src/region_plan.rs
+++ b/crates/burdock-decide/src/region_plan.rs
@@ -32,9 +32,12 @@
 /// 0.15 that may move in the time between two changes.
 const MAX_SHIFT: f64 = 0.05;
 
-/// Iterations that compute the weights. Each halves the excess at least.
+/// Upper bound of the iterations that compute the weights. Each about halves the excess.
 const ITERATIONS: u32 = 60;
 
+/// Excess over the highest load that may remain, which is less than a step of a weight makes.
+const LOAD_PRECISION: f64 = 0.002;
+
 /// Exponent of a correction, below 1 since lowering one weight raises the load of other regions.
 const CORRECTION_EXPONENT: f64 = 0.7;
 
@@ -108,6 +111,9 @@
         let Some(loads) = relative_loads(regions, &weights, local_weight) else {
             break;
         };
+        if loads.iter().all(|load| *load <= max_load * (1.0 + LOAD_PRECISION)) {
+            break;
+        }
         for (weight, load) in weights.iter_mut().zip(loads).filter(|(_, load)| *load > max_load) {
             *weight *= (max_load / load).powf(CORRECTION_EXPONENT);
         }
