Recognise requests with streamed bodies, and count every crash

Cause: a request whose body was forwarded as it arrived had a random fingerprint, so that no two of its crashes were counted together. A crash after the head of an answer was not counted, and an answer cleared the strikes when its head had arrived. Strikes were kept by id of a backend server, so that one that started again under its id counted once.

Change: a digest is computed while a body streams. The first 64 KiB are read before anything is forwarded, and requests are recognised by them while the rest is unknown; when the whole has arrived it is checked before its last part is forwarded. Crashes while an answer arrives count, and only a complete answer clears strikes. Strikes name the run of a backend server's process. A caller's body that breaks off no longer counts against the backend server.

--- /dev/null
+++ b/crates/burdock-decide/src/body_memory.rs
@@ -0,0 +1,100 @@
+//! How much memory the request and response bodies of a process may take, and which of them gets what is left.
+//!
+//! The load that this addresses: two bodies of 60 MB in chunks at once, and 600 callers that read their answers
+//! slowly, at a process with a limit of 112 MB that must also answer small requests.
+
+/// Part of a process's memory limit that is not for bodies, as a fraction: code, connections with their buffers,
+/// configuration and the tables of backend servers.
+const RESERVED_FRACTION: f64 = 0.375;
+
+/// Minimum of that part in bytes. A process without callers takes about 10 MB.
+const MIN_RESERVED_BYTES: u64 = 40_000_000;
+
+/// Minimum memory for bodies in bytes, whatever the limit.
+const MIN_ACCOUNT_BYTES: u64 = 8_000_000;
+
+/// Part of the account that only small bodies take, as a fraction.
+const SMALL_ONLY_FRACTION: f64 = 0.25;
+
+/// Part of the account that answers longer than [`always_held_bytes`] leave to others, as a fraction.
+const NOT_FOR_HELD_ANSWERS_FRACTION: f64 = 0.75;
+
+/// Part of the account below which answers are held only as far as [`MIN_HELD_BYTES`], as a fraction.
+const SCARCE_FRACTION: f64 = 0.5;
+
+/// Size up to which a request body is small, in bytes.
+pub const SMALL_BODY_BYTES: usize = 16 << 10;
+
+/// Size up to which every answer is held before any of it goes to the caller, in bytes. Until then one that
+/// breaks off can be replaced by that of another attempt.
+const ALWAYS_HELD_BYTES: usize = 64 << 10;
+
+/// The same size while memory is scarce.
+const MIN_HELD_BYTES: usize = 16 << 10;
+
+/// What memory is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyUse {
+    /// Up to [`SMALL_BODY_BYTES`] of a request body.
+    SmallBody,
+    /// The part of a request body beyond that, which can be forwarded as it arrives instead.
+    LongBody,
+    /// The part of an answer beyond [`always_held_bytes`], which can be forwarded as it arrives instead.
+    HeldAnswer,
+}
+
+/// Returns the size of the account in bytes for a process whose memory limit is `limit_bytes`.
+///
+/// ```
+/// use burdock_decide::body_memory::account_bytes;
+/// assert_eq!(account_bytes(112_000_000), 70_000_000);
+/// assert_eq!(account_bytes(512_000_000), 320_000_000);
+/// // Too small a limit still leaves room for a few bodies.
+/// assert_eq!(account_bytes(20_000_000), 8_000_000);
+/// ```
+#[must_use]
+pub fn account_bytes(limit_bytes: u64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a fraction of a size needs no more digits"
+    )]
+    let reserved = (limit_bytes as f64 * RESERVED_FRACTION) as u64;
+    limit_bytes.saturating_sub(reserved.max(MIN_RESERVED_BYTES)).max(MIN_ACCOUNT_BYTES)
+}
+
+/// Returns whether `bytes` more may be taken from an account of `capacity` bytes, of which `free` are free.
+///
+/// ```
+/// use burdock_decide::body_memory::{BodyUse, may_take};
+/// // Long bodies leave a quarter to small ones.
+/// assert!(!may_take(1000, 300, 100, BodyUse::LongBody));
+/// assert!(may_take(1000, 300, 100, BodyUse::SmallBody));
+/// assert!(!may_take(1000, 99, 100, BodyUse::SmallBody));
+/// ```
+#[must_use]
+pub fn may_take(capacity: i64, free: i64, bytes: i64, body_use: BodyUse) -> bool {
+    let kept = match body_use {
+        BodyUse::SmallBody => 0.0,
+        BodyUse::LongBody => SMALL_ONLY_FRACTION,
+        BodyUse::HeldAnswer => NOT_FOR_HELD_ANSWERS_FRACTION,
+    };
+    free.saturating_sub(bytes) >= fraction(capacity, kept)
+}
+
+/// Returns the size in bytes up to which every answer is held.
+#[must_use]
+pub fn always_held_bytes(capacity: i64, free: i64) -> usize {
+    if free < fraction(capacity, SCARCE_FRACTION) { MIN_HELD_BYTES } else { ALWAYS_HELD_BYTES }
+}
+
+fn fraction(bytes: i64, fraction: f64) -> i64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        reason = "a fraction of a size needs no more digits"
+    )]
+    let part = (bytes as f64 * fraction) as i64;
+    part
+}
--- a/crates/burdock-decide/src/quarantine.rs
+++ b/crates/burdock-decide/src/quarantine.rs
@@ -48,12 +48,91 @@
 /// ```
 #[must_use]
 pub fn fingerprint(identity: &RequestIdentity<'_>) -> u64 {
+    fingerprint_with_body(head_hash(identity), identity.body_hash)
+}
+
+/// Computes the part of a fingerprint that is known before the body is.
+#[must_use]
+pub fn head_hash(identity: &RequestIdentity<'_>) -> u64 {
     const SEED: u64 = 5;
     let mut hash = stable_hash(identity.organisation.as_bytes(), SEED);
     hash = stable_hash(identity.method.as_bytes(), hash);
     hash = stable_hash(identity.path.as_bytes(), hash);
-    hash = stable_hash(identity.idempotency_key.unwrap_or("").as_bytes(), hash);
-    stable_hash(&identity.body_hash.to_le_bytes(), hash)
+    stable_hash(identity.idempotency_key.unwrap_or("").as_bytes(), hash)
+}
+
+/// Completes a fingerprint whose head has the given hash.
+#[must_use]
+pub fn fingerprint_with_body(head_hash: u64, body_hash: u64) -> u64 {
+    stable_hash(&body_hash.to_le_bytes(), head_hash)
+}
+
+/// Length of the start of a body by which a request is recognised while the rest is unknown, in bytes.
+pub const BODY_START_BYTES: usize = 64 << 10;
+
+/// Fingerprints of a request whose body may be forwarded while it arrives.
+///
+/// A crash is recorded under each fingerprint that was known at the time. Requests that crash backend servers
+/// come again at other instances, where the body may be held or forwarded as it arrives, so that the same
+/// request must be recognised by its start alone and by its whole body.
+///
+/// The load that this addresses: a request with a body of 300,000 bytes that came once a second and crashed 34
+/// to 37 backend servers, because a body that was forwarded as it arrived had no fingerprint.
+///
+/// ```
+/// use burdock_decide::quarantine::BodyFingerprints;
+/// let held = BodyFingerprints::new(1, Some(7), Some(3));
+/// let arriving = BodyFingerprints::new(1, None, Some(3));
+/// // A crash that ended a body before its whole was known refuses it however it comes again.
+/// assert!(held.checked().any(|f| arriving.struck().any(|s| s == f)));
+/// assert!(arriving.checked().any(|f| held.struck().any(|s| s == f)));
+/// // Another body with the same start that is held whole is not refused for the crashes of this one.
+/// let other = BodyFingerprints::new(1, Some(8), Some(3));
+/// assert!(!other.checked().any(|f| held.struck().any(|s| s == f)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyFingerprints {
+    whole: Option<u64>,
+    start: Option<u64>,
+    cut: Option<u64>,
+}
+
+impl BodyFingerprints {
+    /// Computes the fingerprints from the hashes of the head, of the whole body if it is known, and of its
+    /// first [`BODY_START_BYTES`] if it is longer.
+    #[must_use]
+    pub fn new(head_hash: u64, whole_body: Option<u64>, body_start: Option<u64>) -> Self {
+        // Keep starts apart from whole bodies, and bodies that were cut off from others.
+        const START_SEED: u64 = 11;
+        const CUT_SEED: u64 = 12;
+        let of_start = |seed| {
+            let hash = stable_hash(&head_hash.to_le_bytes(), seed);
+            body_start.map(|start| fingerprint_with_body(hash, start))
+        };
+        Self {
+            whole: whole_body.map(|body| fingerprint_with_body(head_hash, body)),
+            start: of_start(START_SEED),
+            cut: of_start(CUT_SEED),
+        }
+    }
+
+    /// Returns the fingerprints of which one in quarantine refuses the request. Without the whole body, crashes
+    /// of any body with the same start count.
+    pub fn checked(&self) -> impl Iterator<Item = u64> {
+        let known = if self.whole.is_some() { self.cut } else { self.start };
+        [self.whole, known].into_iter().flatten()
+    }
+
+    /// Returns the fingerprints that get a strike when a backend server crashes.
+    pub fn struck(&self) -> impl Iterator<Item = u64> {
+        let cut = if self.whole.is_some() { None } else { self.cut };
+        [self.whole, self.start, cut].into_iter().flatten()
+    }
+
+    /// Returns the fingerprints that are cleared when the request is answered.
+    pub fn cleared(&self) -> impl Iterator<Item = u64> {
+        [self.whole, self.start, self.cut].into_iter().flatten()
+    }
 }
 
 /// Strikes against one fingerprint: the backend servers that crashed while they ran the request.
--- a/crates/burdock-model/src/hash.rs
+++ b/crates/burdock-model/src/hash.rs
@@ -2,7 +2,7 @@
 
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Returns a 64-bit hash of the bytes under a seed. The value is the same on every instance.
 ///
@@ -16,6 +16,43 @@
     xxh3_64_with_seed(bytes, seed)
 }
 
+/// Computes [`stable_hash`] of bytes that arrive in parts.
+///
+/// ```
+/// use burdock_model::hash::{StableHasher, stable_hash};
+/// let mut hasher = StableHasher::new(1);
+/// hasher.update(b"a");
+/// hasher.update(b"bc");
+/// assert_eq!(hasher.finish(), stable_hash(b"abc", 1));
+/// ```
+#[derive(Clone)]
+pub struct StableHasher(Box<Xxh3>);
+
+impl StableHasher {
+    /// Creates a hasher that has seen no bytes yet.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self(Box::new(Xxh3::with_seed(seed)))
+    }
+
+    /// Adds the next bytes.
+    pub fn update(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+
+    /// Returns the hash of all bytes so far.
+    #[must_use]
+    pub fn finish(&self) -> u64 {
+        self.0.digest()
+    }
+}
+
+impl std::fmt::Debug for StableHasher {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("StableHasher").field(&self.finish()).finish()
+    }
+}
+
 /// Returns the rendezvous weight of a member for a subject. The highest weight ranks first.
 #[must_use]
 pub fn rendezvous_weight(subject: u64, member: &str) -> u64 {
--- a/crates/burdock-node/src/entry/handle.rs
+++ b/crates/burdock-node/src/entry/handle.rs
@@ -167,7 +167,7 @@
     let limit = outbound.policy.body_limit.0;
     match body.size_hint().exact() {
         Some(length) if length > MAX_BUFFERED_BODY_BYTES => {
-            Ok(RequestBody::Streamed { incoming: body, forwarded: 0, limit })
+            Ok(RequestBody::streamed(Bytes::new(), body, limit))
         }
         _ => buffer_body(body, limit).await.map(RequestBody::Buffered),
     }
--- a/crates/burdock-node/src/forward/attempt.rs
+++ b/crates/burdock-node/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::forward::backends::{BackendState, InFlight};
-use crate::forward::body::RequestBody;
+use crate::forward::body::{RequestBody, find_body_error};
 use crate::forward::outbound::Outbound;
 use crate::forward::pool::Connection;
 use crate::node::Node;
@@ -136,12 +136,5 @@
 }
 
 fn is_caller_fault(e: &hyper::Error) -> bool {
-    let mut source = std::error::Error::source(e);
-    while let Some(inner) = source {
-        if inner.is::<crate::forward::body::BodyError>() {
-            return true;
-        }
-        source = inner.source();
-    }
-    e.is_user()
+    find_body_error(e).is_some() || e.is_user()
 }
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -16,14 +16,15 @@
 use http_body::Body;
 use hyper::body::Incoming;
 
-use crate::forward::body::RequestBody;
+use crate::forward::body::{BodyError, RequestBody, find_body_error};
 use crate::forward::pool::Connection;
 use crate::observe::counters::Counter;
 use crate::site::SiteNode;
 use crate::site::backend::{Backend, InFlight};
-use crate::site::body::{ReadAnswer, read_answer};
+use crate::site::body::{AnswerSource, ReadAnswer, read_answer};
 use crate::site::outbound::Outbound;
 use crate::site::send::BackendAnswer;
+use crate::site::suspect::{CrashReport, Suspect};
 
 /// Time limit of a connection to a backend server: a few round trips on the longest link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -51,8 +52,8 @@
     pub backend: &'a Arc<Backend>,
     /// Placement that selected the backend server.
     pub placement: &'a Placement,
-    /// Fingerprint by which quarantine recognises the request.
-    pub fingerprint: u64,
+    /// Identity by which quarantine recognises the request.
+    pub suspect: &'a Suspect,
 }
 
 /// An attempt without an answer that may go to the caller.
@@ -149,14 +150,16 @@
     // A broken connection may mean that only this answer broke. Whether the backend server died is checked in
     // the background, while the next attempt goes to another one.
     fn broken_connection_failure(&self, e: &hyper::Error) -> AttemptFailure {
+        if let Some(cause) = find_body_error(e) {
+            if matches!(cause, BodyError::Refused) {
+                self.node.counters.add(Counter::Quarantined);
+            }
+            log::info!(backend = self.name().as_str(), id = self.id(); "the request was cut off: {cause}");
+            return self.written_failure(ErrorKind::BadAnswer, &cause.to_string());
+        }
         self.backend.record_broken_answer(self.now());
         if !e.is_parse() {
-            tokio::spawn(record_crash_if_unreachable(
-                Arc::clone(self.node),
-                Arc::clone(self.backend),
-                self.service.cold_time,
-                self.fingerprint,
-            ));
+            self.crash_report().spawn();
         }
         log::info!(backend = self.name().as_str(), id = self.id(); "broke its answer: {e}");
         self.written_failure(ErrorKind::BadAnswer, &format!("broke its answer: {e}"))
@@ -225,18 +228,31 @@
             connection.set_max_idle_time(limit);
         }
         let timeout = self.outbound.time_left(self.now());
-        let read =
-            read_answer(incoming, (connection, in_flight), is_reusable, self.node, self.outbound.deadline);
+        let is_server_error = parts.status.is_server_error();
+        let source = AnswerSource {
+            connection,
+            in_flight,
+            is_reusable,
+            is_success: !is_server_error,
+            crash: self.crash_report(),
+        };
+        let read = read_answer(incoming, source, self.node, self.outbound.deadline);
         let body = match tokio::time::timeout(timeout, read).await {
             Ok(Ok(ReadAnswer::Whole(body, connection))) => {
                 if is_reusable {
                     self.backend.pool.release(connection);
                 }
+                if !is_server_error {
+                    self.suspect.clear(self.node);
+                }
                 body
             }
             Ok(Ok(ReadAnswer::Partial(body))) => body,
             Ok(Err(e)) => {
                 self.backend.record_broken_answer(self.now());
+                if !e.is_parse() {
+                    self.crash_report().spawn();
+                }
                 log::info!(backend = self.name().as_str(), id = self.id(); "the answer broke off: {e}");
                 return Err(self.written_failure(ErrorKind::BadAnswer, "the answer broke off"));
             }
@@ -246,7 +262,6 @@
                     .written_failure(ErrorKind::DeadlineAfter, "the answer was incomplete at the deadline"));
             }
         };
-        let is_server_error = parts.status.is_server_error();
         if let Some(bytes) = body.size_hint().exact().filter(|_| parts.status.is_success()) {
             self.node.record_answer_bytes(self.outbound.route, bytes);
         }
@@ -269,7 +284,6 @@
             self.backend.record_answer(1.0, false, now);
             return;
         }
-        self.node.quarantine.clear(self.fingerprint, now);
         let took_ms = now.since(sent_at).as_secs_f64() * 1e3;
         self.backend.record_answer(took_ms / self.placement.expected_ms.max(1.0), true, now);
         if !self.placement.is_queued {
@@ -279,6 +293,15 @@
         }
     }
 
+    fn crash_report(&self) -> CrashReport {
+        CrashReport {
+            node: Arc::clone(self.node),
+            backend: Arc::clone(self.backend),
+            cold_time: self.service.cold_time,
+            suspect: self.suspect.clone(),
+        }
+    }
+
     fn not_written_failure(&self, detail: &str, body: RequestBody) -> AttemptFailure {
         let error = self.error(ErrorKind::NoBackend, detail);
         AttemptFailure { progress: SendProgress::NotWritten, error, body: Some(body), answer: None }
@@ -310,27 +333,6 @@
     }
 }
 
-// Records a crash if the backend server accepts no connection. It has died while it ran the request, which
-// may or may not be the cause.
-async fn record_crash_if_unreachable(
-    node: Arc<SiteNode>,
-    backend: Arc<Backend>,
-    cold_time: Duration,
-    fingerprint: u64,
-) {
-    if backend.pool.accepts_connections().await {
-        return;
-    }
-    let now = node.clock.now();
-    backend.pool.close_idle();
-    backend.record_unreachable(cold_time, now);
-    let id = &backend.registered.id;
-    log::info!(backend = id.as_str(), request = fingerprint; "died while a request was at work there");
-    if node.quarantine.record_crash(fingerprint, id, now) {
-        node.counters.add(Counter::Strikes);
-    }
-}
-
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let value = headers.get(CONNECTION).and_then(|v| v.to_str().ok());
     value.is_some_and(|v| v.to_ascii_lowercase().contains("close"))
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -10,6 +10,7 @@
 use burdock_decide::place::Candidate;
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
+use burdock_model::ids::BackendId;
 use burdock_model::site::RegisteredBackend;
 use parking_lot::Mutex;
 
@@ -127,6 +128,14 @@
         self.run_hash
     }
 
+    /// Returns a name of this run of the backend server's process. A process that starts again under the same
+    /// id has another one, so that a request which crashes both gets two strikes.
+    #[must_use]
+    pub fn run_id(&self) -> BackendId {
+        // Shorter than an id may be, whatever the length of the backend server's own.
+        BackendId::new(&format!("run-{:016x}", self.run_hash)).unwrap_or_else(|_| self.registered.id.clone())
+    }
+
     /// Marks that the process is leaving and closes its idle connections. Returns whether that was known.
     pub fn mark_leaving(&self) -> bool {
         let was_leaving = self.is_leaving.swap(true, Ordering::Relaxed);
--- a/crates/burdock-node/src/site/body.rs
+++ b/crates/burdock-node/src/site/body.rs
@@ -14,9 +14,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Sleep;
 
-use crate::clock::Clock;
 use crate::forward::pool::Connection;
 use crate::site::backend::InFlight;
+use crate::site::suspect::CrashReport;
 use crate::site::{RequestGuard, SiteNode};
 
 /// Size up to which every answer is held before any of it goes to the caller, in bytes. Until then one that
@@ -83,9 +83,22 @@
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
     // Released at the end of the body.
-    source: Option<(Connection, InFlight)>,
-    is_reusable: bool,
-    clock: Clock,
+    source: Option<AnswerSource>,
+}
+
+/// Where an answer comes from.
+#[derive(Debug)]
+pub struct AnswerSource {
+    /// Connection that the answer arrives on.
+    pub connection: Connection,
+    /// Counts the request as in flight at the backend server.
+    pub in_flight: InFlight,
+    /// Whether the connection may carry another request after the answer.
+    pub is_reusable: bool,
+    /// Whether the complete answer shows that the request crashes no backend server.
+    pub is_success: bool,
+    /// What to record if the backend server crashes before the answer's end.
+    pub crash: CrashReport,
 }
 
 #[derive(Debug, Default)]
@@ -145,8 +158,7 @@
 /// When the connection fails before the body's end.
 pub async fn read_answer(
     mut incoming: Incoming,
-    (connection, in_flight): (Connection, InFlight),
-    is_reusable: bool,
+    source: AnswerSource,
     node: &SiteNode,
     deadline: Time,
 ) -> Result<ReadAnswer, hyper::Error> {
@@ -154,7 +166,7 @@
     while bytes <= ALWAYS_HELD_BYTES || (bytes <= MAX_HELD_BYTES && permit.is_some()) {
         let Some(frame) = incoming.frame().await else {
             let in_use = InUse { memory: permit, request: None };
-            return Ok(ReadAnswer::Whole(ResponseBody { held, rest: None, in_use }, connection));
+            return Ok(ReadAnswer::Whole(ResponseBody { held, rest: None, in_use }, source.connection));
         };
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -172,9 +184,7 @@
     let rest = Rest {
         incoming,
         deadline: Box::pin(tokio::time::sleep_until(node.clock.instant(deadline))),
-        source: Some((connection, in_flight)),
-        is_reusable,
-        clock: node.clock,
+        source: Some(source),
     };
     let in_use = InUse { memory: permit, request: None };
     Ok(ReadAnswer::Partial(ResponseBody { held, rest: Some(Box::new(rest)), in_use }))
@@ -237,10 +247,8 @@
             Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
             Some(Err(source)) => Poll::Ready(Some(Err(self.break_off(AnswerError::Broken { source })))),
             None => {
-                if let Some((connection, in_flight)) = self.source.take()
-                    && self.is_reusable
-                {
-                    in_flight.backend().pool.release(connection);
+                if let Some(source) = self.source.take() {
+                    source.finish();
                 }
                 Poll::Ready(None)
             }
@@ -249,9 +257,24 @@
 
     // Closes the connection to the backend server, which cancels the request there.
     fn break_off(&mut self, e: AnswerError) -> AnswerError {
-        if let Some((_connection, in_flight)) = self.source.take() {
-            in_flight.backend().record_broken_answer(self.clock.now());
+        if let Some(AnswerSource { crash, .. }) = self.source.take() {
+            crash.backend.record_broken_answer(crash.node.clock.now());
+            if matches!(&e, AnswerError::Broken { source } if !source.is_parse()) {
+                crash.spawn();
+            }
         }
         e
     }
 }
+
+impl AnswerSource {
+    // Records that the answer is complete.
+    fn finish(self) {
+        if self.is_success {
+            self.crash.suspect.clear(&self.crash.node);
+        }
+        if self.is_reusable {
+            self.in_flight.backend().pool.release(self.connection);
+        }
+    }
+}
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::quarantine::BODY_START_BYTES;
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, Route, SiteConfigIndex};
 use burdock_platform::dialect::Dialect;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
@@ -194,7 +195,7 @@
         return Err(failure(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None));
     }
     if length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES) {
-        return Ok(RequestBody::Streamed { incoming, forwarded: 0, limit });
+        return read_start(incoming, limit, outbound.time_left(node.clock.now())).await;
     }
     let max_bytes = usize::try_from(limit).unwrap_or(usize::MAX);
     let read = Limited::new(incoming, max_bytes).collect();
@@ -210,6 +211,34 @@
     }
 }
 
+// Reads what quarantine recognises a body by that is forwarded as it arrives.
+async fn read_start(
+    mut incoming: Incoming,
+    limit: u64,
+    time_left: Duration,
+) -> Result<RequestBody, RequestFailure> {
+    let mut start = BytesMut::new();
+    let read = async {
+        while start.len() < BODY_START_BYTES
+            && let Some(frame) = incoming.frame().await
+        {
+            if let Some(data) = frame?.data_ref() {
+                start.extend_from_slice(data);
+            }
+        }
+        Ok(())
+    };
+    match tokio::time::timeout(time_left, read).await {
+        Ok(Ok(())) => Ok(RequestBody::streamed(start.freeze(), incoming, limit)),
+        Ok(Err(e)) => Err(body_broken(&e)),
+        Err(_elapsed) => Err(failure(ErrorKind::DeadlineBefore, "the body did not arrive in time", None)),
+    }
+}
+
+fn body_broken(e: &hyper::Error) -> RequestFailure {
+    failure(ErrorKind::BadRequest, &format!("the request body ended early: {e}"), None)
+}
+
 fn refusal_response(node: &SiteNode, e: &RequestFailure, headers: &HeaderMap) -> Response<ResponseBody> {
     let outcome = e.error.kind.answer().outcome;
     node.counters.add(match outcome {
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -22,6 +22,7 @@
 pub mod serve;
 pub mod start;
 pub mod status;
+pub mod suspect;
 pub mod sync;
 pub mod table;
 
--- a/crates/burdock-node/src/site/outbound.rs
+++ b/crates/burdock-node/src/site/outbound.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use burdock_decide::headers::HOP_BY_HOP;
-use burdock_decide::quarantine::{RequestIdentity, fingerprint};
+use burdock_decide::quarantine::{RequestIdentity, head_hash};
 use burdock_decide::time::Time;
-use burdock_model::hash::stable_hash;
 use burdock_model::ids::{BackendId, OrganisationName, RegionName};
 use burdock_model::site::Route;
 use burdock_platform::dialect::Dialect;
@@ -70,18 +69,14 @@
         req
     }
 
-    /// Returns the fingerprint by which quarantine recognises the request. A streamed body can't be compared
-    /// with others, so such a request gets a random fingerprint of its own.
+    /// Returns the hash of what quarantine recognises the request by apart from its body.
     #[must_use]
-    pub fn fingerprint(&self, body: &RequestBody) -> u64 {
-        let Some(body) = body.buffered() else {
-            return rand::random();
-        };
-        fingerprint(&RequestIdentity {
+    pub fn head_hash(&self) -> u64 {
+        head_hash(&RequestIdentity {
             organisation: self.organisation.map_or("", OrganisationName::as_str),
             method: self.method.as_str(),
             path: self.target.path_and_query().map_or("/", |p| p.as_str()),
-            body_hash: stable_hash(body, 0),
+            body_hash: 0,
             idempotency_key: None,
         })
     }
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -5,7 +5,7 @@
 
 use burdock_decide::cold;
 use burdock_decide::place::{Placement, PlacementView, local_weight, max_load_per_slot, place_request};
-use burdock_decide::quarantine::{QUARANTINE_TIME, QuarantineDecision, SHARED_STRIKES_TO_REFUSE};
+use burdock_decide::quarantine::QUARANTINE_TIME;
 use burdock_decide::retry::{RetryView, may_retry};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
@@ -19,6 +19,7 @@
 use crate::site::backend::Backend;
 use crate::site::body::ResponseBody;
 use crate::site::outbound::Outbound;
+use crate::site::suspect::Suspect;
 
 /// Time that must remain before the deadline for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
@@ -60,7 +61,7 @@
     node: &Arc<SiteNode>,
     config: &SiteConfigIndex,
     outbound: &Outbound<'_>,
-    body: RequestBody,
+    mut body: RequestBody,
 ) -> ForwardOutcome {
     let service = &config.published.services[node.select_service_ix(outbound.route)];
     let mut outcome = ForwardOutcome {
@@ -69,13 +70,12 @@
         placement: None,
         service: service.name.clone(),
     };
-    let fingerprint = outbound.fingerprint(&body);
-    if node.quarantine.decision(fingerprint, SHARED_STRIKES_TO_REFUSE, node.clock.now())
-        == QuarantineDecision::Refuse
-    {
+    let suspect = Suspect::new(outbound, &body);
+    if suspect.is_refused(node) {
         outcome.result = Err(quarantine_failure(node));
         return outcome;
     }
+    body.check_end(suspect.end_check(node));
     let mut body = Some(body);
     node.deposit_retry(&service.name);
     loop {
@@ -93,7 +93,7 @@
         outcome.tried.push(Arc::clone(&backend));
         outcome.placement = Some(placement);
         let attempt =
-            Attempt { node, outbound, service, backend: &backend, placement: &placement, fingerprint };
+            Attempt { node, outbound, service, backend: &backend, placement: &placement, suspect: &suspect };
         let failure = match attempt.run(current).await {
             Ok(answer) => {
                 outcome.result = Ok(answer);
--- a/crates/burdock-node/tests/site_support/raw.rs
+++ b/crates/burdock-node/tests/site_support/raw.rs
@@ -61,6 +61,39 @@
         Self { address, requests }
     }
 
+    /// Starts a backend server that crashes at its first request, once it has sent `answer`.
+    pub async fn start_crashing(answer: impl Fn(&str) -> Vec<u8> + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&requests);
+        tokio::spawn(async move {
+            loop {
+                let Ok((mut stream, _)) = listener.accept().await else {
+                    return;
+                };
+                let mut buf = Vec::new();
+                while !buf.windows(4).any(|w| w == b"\r\n\r\n") {
+                    if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+                        break;
+                    }
+                }
+                // A check whether the backend server is up sends nothing.
+                if buf.is_empty() {
+                    continue;
+                }
+                counter.fetch_add(1, Ordering::Relaxed);
+                let text = String::from_utf8_lossy(&buf).to_lowercase();
+                let id = text.lines().find_map(|l| l.strip_prefix("x-burdockcroft-attempt-id: "));
+                // No new connection is accepted by the time the answer breaks off.
+                drop(listener);
+                let _sent = stream.write_all(&answer(id.unwrap_or(""))).await;
+                return;
+            }
+        });
+        Self { address, requests }
+    }
+
     /// Returns how many requests have arrived.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
