Account for the memory of request and response bodies

Cause: a body in chunks was held whole, up to 67,108,864 bytes, and nothing bounded what all requests of a process held together. Two of 60 MB took a process over its limit (182 MB), which ended it with all requests in flight.

Change: each process has one account (BodyMemory, in place of AnswerMemory), sized from limits.memory_mb with a reserve. Request bodies are held up to 256 KiB however they are framed; longer ones are forwarded as they arrive. A body without room is refused at once with 503, before any of it was sent. A quarter of the account is left to bodies up to 16 KiB. Answers draw on the same account, are held less far while memory is scarce, and each chunk is joined once. Processes with up to 192 MB read answers into buffers of 16 KiB. A body over its limit that is found out while it is forwarded now ends with 413, and one that its caller broke off with 400, instead of 502.

With the limits taken out (bodies held up to 64 MiB, every request for memory granted) long_bodies_are_read_no_faster_than_they_are_forwarded, body_without_room_is_refused_as_not_run_and_small_ones_are_served and both tests of body_memory fail; with memory that is not freed abandoned_body_frees_its_memory fails.

--- a/crates/burdock-decide/src/body_memory.rs
+++ b/crates/burdock-decide/src/body_memory.rs
@@ -20,7 +20,7 @@
 const NOT_FOR_HELD_ANSWERS_FRACTION: f64 = 0.75;
 
 /// Part of the account below which answers are held only as far as [`MIN_HELD_BYTES`], as a fraction.
-const SCARCE_FRACTION: f64 = 0.5;
+const SCARCE_FRACTION: f64 = 0.75;
 
 /// Size up to which a request body is small, in bytes.
 pub const SMALL_BODY_BYTES: usize = 16 << 10;
@@ -32,6 +32,18 @@
 /// The same size while memory is scarce.
 const MIN_HELD_BYTES: usize = 16 << 10;
 
+/// Memory limit of a process in bytes up to which it reads answers with small buffers.
+const SMALL_LIMIT_BYTES: u64 = 192_000_000;
+
+/// Size of the buffers in which such a process reads answers, and of those of others, in bytes. It bounds the
+/// head of an answer as well.
+const SMALL_READ_BUFFER_BYTES: usize = 16 << 10;
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
+/// Buffers that a body takes while it is forwarded as it arrives: one that is read into, one that waits to be
+/// taken and one that is being written.
+const BUFFERS_IN_TRANSIT: usize = 3;
+
 /// What memory is taken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyUse {
@@ -64,6 +76,21 @@
     limit_bytes.saturating_sub(reserved.max(MIN_RESERVED_BYTES)).max(MIN_ACCOUNT_BYTES)
 }
 
+/// Returns the size of the buffers in which a process with a memory limit reads answers, in bytes.
+///
+/// With buffers of 64 KiB, 256 answers whose callers read nothing took 215 KB each; with 16 KiB, 600 took
+/// 107 KB each, connections included.
+#[must_use]
+pub const fn read_buffer_bytes(limit_bytes: u64) -> usize {
+    if limit_bytes <= SMALL_LIMIT_BYTES { SMALL_READ_BUFFER_BYTES } else { READ_BUFFER_BYTES }
+}
+
+/// Returns the memory that a body takes while it is forwarded as it arrives, in bytes.
+#[must_use]
+pub const fn transit_bytes(limit_bytes: u64) -> usize {
+    BUFFERS_IN_TRANSIT * read_buffer_bytes(limit_bytes)
+}
+
 /// Returns whether `bytes` more may be taken from an account of `capacity` bytes, of which `free` are free.
 ///
 /// ```
--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod apportion;
 pub mod backoff;
+pub mod body_memory;
 pub mod cold;
 pub mod connectivity;
 pub mod entries;
--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -27,6 +27,8 @@
     pub cpu_share: f64,
     /// Capacity of the machine's link in megabits per second.
     pub link_mbps: f64,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: u64,
     /// Maximum number of files that the process may have open.
     pub max_open_files: usize,
     /// Bounds set by the operators.
--- a/crates/burdock-node/src/demo_site.rs
+++ b/crates/burdock-node/src/demo_site.rs
@@ -108,6 +108,7 @@
         cores: 1.0,
         cpu_share: 1.0,
         link_mbps: 1000.0,
+        memory_bytes: 256_000_000,
         max_open_files: 1024,
         bounds: Bounds::default(),
     })
--- a/crates/burdock-node/src/forward/body.rs
+++ b/crates/burdock-node/src/forward/body.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use snafu::Snafu;
 
+use crate::site::memory::Reservation;
+
 /// Seed of the hash of a body.
 const BODY_HASH_SEED: u64 = 0;
 
@@ -55,6 +57,8 @@
     hasher: StableHasher,
     digest: BodyDigest,
     end_check: Option<EndCheck>,
+    // Free again once the body was forwarded or abandoned.
+    memory: Option<Reservation>,
 }
 
 /// Hash of a whole body, known once all of it has arrived. Copies share it.
@@ -107,6 +111,7 @@
             hasher,
             digest: BodyDigest::default(),
             end_check: None,
+            memory: None,
         }))
     }
 
@@ -144,6 +149,13 @@
         }
     }
 
+    /// Lets a streamed body keep memory until it was forwarded or is dropped.
+    pub fn hold_memory(&mut self, memory: Reservation) {
+        if let Self::Streamed(body) = self {
+            body.memory = Some(memory);
+        }
+    }
+
     /// Returns a copy for another attempt if the body is buffered.
     #[must_use]
     pub fn try_clone(&self) -> Option<Self> {
--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -24,8 +24,8 @@
 /// How long an idle connection may take to be ready before another one is used.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
-/// Maximum size of a response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum size of a response head and of the buffer that responses are read into, in bytes, unless it is set.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 /// How long an idle connection is kept, below the ten seconds after which backend servers close theirs.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -87,6 +87,7 @@
     idle: Mutex<Vec<Connection>>,
     open: Arc<AtomicUsize>,
     max_open: AtomicUsize,
+    max_buffer_bytes: AtomicUsize,
     connect_us: AtomicU64,
 }
 
@@ -99,6 +100,7 @@
             idle: Mutex::default(),
             open: Arc::default(),
             max_open: AtomicUsize::new(INITIAL_MAX_OPEN),
+            max_buffer_bytes: AtomicUsize::new(MAX_BUFFER_BYTES),
             connect_us: AtomicU64::new(0),
         }
     }
@@ -119,6 +121,11 @@
         self.max_open.store(max_open, Ordering::Relaxed);
     }
 
+    /// Sets the size of the buffer that responses are read into, which bounds their heads, too.
+    pub fn set_max_buffer(&self, bytes: usize) {
+        self.max_buffer_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// Returns the most recently used idle connection, or opens a new one.
     ///
     /// # Errors
@@ -175,8 +182,9 @@
         self.connect_us
             .store(u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX), Ordering::Relaxed);
         enable_dead_peer_detection(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|e| e.to_string())?;
+        let max_buffer_bytes = self.max_buffer_bytes.load(Ordering::Relaxed);
         let handshake =
-            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
+            http1::Builder::new().max_buf_size(max_buffer_bytes).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| e.to_string())?;
         let task = tokio::spawn(async move {
             // The request on the connection gets the error, if any.
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -64,6 +64,12 @@
     Replays => "once.replays",
     /// Requests relayed to the owner of their idempotency key.
     Relays => "once.relays",
+    /// Requests refused because there was no memory for their bodies.
+    BodiesRefused => "bodies.refused",
+    /// Request bodies that were too long to be held and were forwarded as they arrived.
+    BodiesStreamed => "bodies.streamed",
+    /// Answers of which a part was forwarded as it arrived, because it was too long or memory was short.
+    AnswersStreamed => "answers.streamed",
     /// Requests refused because they are in quarantine.
     Quarantined => "quarantine.refused",
     /// Strikes recorded against requests whose backend server crashed.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -151,11 +151,17 @@
     // the background, while the next attempt goes to another one.
     fn broken_connection_failure(&self, e: &hyper::Error) -> AttemptFailure {
         if let Some(cause) = find_body_error(e) {
-            if matches!(cause, BodyError::Refused) {
-                self.node.counters.add(Counter::Quarantined);
-            }
+            let kind = match cause {
+                BodyError::Broken { .. } => ErrorKind::BodyCut,
+                BodyError::TooLong { .. } => ErrorKind::TooLarge,
+                // The backend server had begun to receive it, so that "not run" would be a promise too many.
+                BodyError::Refused => {
+                    self.node.counters.add(Counter::Quarantined);
+                    ErrorKind::BadAnswer
+                }
+            };
             log::info!(backend = self.name().as_str(), id = self.id(); "the request was cut off: {cause}");
-            return self.written_failure(ErrorKind::BadAnswer, &cause.to_string());
+            return self.written_failure(kind, &cause.to_string());
         }
         self.backend.record_broken_answer(self.now());
         if !e.is_parse() {
--- a/crates/burdock-node/src/site/body.rs
+++ b/crates/burdock-node/src/site/body.rs
@@ -2,49 +2,35 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use burdock_decide::body_memory::BodyUse;
 use burdock_decide::time::Time;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use snafu::Snafu;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Sleep;
 
 use crate::forward::pool::Connection;
+use crate::observe::counters::Counter;
 use crate::site::backend::InFlight;
+use crate::site::memory::Reservation;
 use crate::site::suspect::CrashReport;
 use crate::site::{RequestGuard, SiteNode};
 
-/// Size up to which every answer is held before any of it goes to the caller, in bytes. Until then one that
-/// breaks off can be replaced by that of another attempt.
-const ALWAYS_HELD_BYTES: usize = 64 << 10;
-
-/// Size up to which an answer is held while [`AnswerMemory`] has room, in bytes. A held answer frees its
+/// Size up to which an answer is held while there is memory for it, in bytes. A held answer frees its
 /// backend server, however slowly the caller reads it.
 const MAX_HELD_BYTES: usize = 1 << 20;
 
-/// Number of chunks from which held ones are joined. Each chunk keeps the buffer that it was read into.
+/// Number of chunks from which held ones are joined, each once. Each chunk keeps the buffer that it was read
+/// into.
 const MAX_HELD_CHUNKS: usize = 64;
 
 /// Size up to which held bytes are handed to the HTTP server at once.
 const MAX_FRAME_BYTES: usize = 16 << 10;
 
-/// Memory for answers beyond [`ALWAYS_HELD_BYTES`] of all requests of an instance, in bytes.
-const ANSWER_MEMORY_BYTES: usize = 16 << 20;
-
-/// Unit in which answer memory is taken, in bytes.
-const MEMORY_UNIT_BYTES: usize = 1 << 10;
-
-/// Memory of an instance for the parts of answers that it holds.
-#[derive(Clone, Debug)]
-pub struct AnswerMemory {
-    units: Arc<Semaphore>,
-}
-
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub struct ResponseBody {
@@ -84,6 +70,7 @@
     deadline: Pin<Box<Sleep>>,
     // Released at the end of the body.
     source: Option<AnswerSource>,
+    transit_bytes: usize,
 }
 
 /// Where an answer comes from.
@@ -103,39 +90,10 @@
 
 #[derive(Debug, Default)]
 struct InUse {
-    memory: Option<OwnedSemaphorePermit>,
+    memory: Option<Reservation>,
     request: Option<RequestGuard>,
 }
 
-impl Default for AnswerMemory {
-    fn default() -> Self {
-        Self { units: Arc::new(Semaphore::new(ANSWER_MEMORY_BYTES / MEMORY_UNIT_BYTES)) }
-    }
-}
-
-impl AnswerMemory {
-    /// Returns the memory that is free, in bytes.
-    #[must_use]
-    pub fn free_bytes(&self) -> usize {
-        self.units.available_permits() * MEMORY_UNIT_BYTES
-    }
-
-    // Adds memory for `bytes` to `taken`. Returns `false` if there is none.
-    fn take(&self, taken: &mut Option<OwnedSemaphorePermit>, bytes: usize) -> bool {
-        let Ok(count) = u32::try_from(bytes.div_ceil(MEMORY_UNIT_BYTES)) else {
-            return false;
-        };
-        let Ok(more) = Arc::clone(&self.units).try_acquire_many_owned(count) else {
-            return false;
-        };
-        match taken {
-            Some(permit) => permit.merge(more),
-            None => *taken = Some(more),
-        }
-        true
-    }
-}
-
 impl ResponseBody {
     /// Creates a body from bytes that are complete.
     #[must_use]
@@ -162,10 +120,11 @@
     node: &SiteNode,
     deadline: Time,
 ) -> Result<ReadAnswer, hyper::Error> {
-    let (mut held, mut bytes, mut permit) = (VecDeque::new(), 0, None);
-    while bytes <= ALWAYS_HELD_BYTES || (bytes <= MAX_HELD_BYTES && permit.is_some()) {
+    let (mut held, mut bytes, mut unjoined) = (VecDeque::new(), 0, 0);
+    let mut memory = node.body_memory.reserve();
+    loop {
         let Some(frame) = incoming.frame().await else {
-            let in_use = InUse { memory: permit, request: None };
+            let in_use = InUse { memory: Some(memory), request: None };
             return Ok(ReadAnswer::Whole(ResponseBody { held, rest: None, in_use }, source.connection));
         };
         let Ok(data) = frame?.into_data() else {
@@ -174,19 +133,27 @@
         let length = data.len();
         bytes += length;
         held.push_back(data);
-        if held.len() >= MAX_HELD_CHUNKS {
-            held = VecDeque::from([concat(&held)]);
+        unjoined += 1;
+        if unjoined >= MAX_HELD_CHUNKS {
+            let joined = concat(&held.split_off(held.len() - unjoined));
+            held.push_back(joined);
+            unjoined = 0;
         }
-        if bytes > ALWAYS_HELD_BYTES && !node.answer_memory.take(&mut permit, length) {
+        if bytes <= node.body_memory.always_held_bytes() {
+            memory.grow(length);
+        } else if bytes > MAX_HELD_BYTES || !memory.try_grow(length, BodyUse::HeldAnswer) {
+            memory.grow(length + node.body_memory.transit_bytes());
             break;
         }
     }
+    node.counters.add(Counter::AnswersStreamed);
     let rest = Rest {
         incoming,
         deadline: Box::pin(tokio::time::sleep_until(node.clock.instant(deadline))),
         source: Some(source),
+        transit_bytes: node.body_memory.transit_bytes(),
     };
-    let in_use = InUse { memory: permit, request: None };
+    let in_use = InUse { memory: Some(memory), request: None };
     Ok(ReadAnswer::Partial(ResponseBody { held, rest: Some(Box::new(rest)), in_use }))
 }
 
@@ -215,7 +182,9 @@
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         // What was held has been sent.
-        body.in_use.memory = None;
+        if let Some(memory) = &mut body.in_use.memory {
+            memory.shrink_to(body.rest.as_ref().map_or(0, |rest| rest.transit_bytes));
+        }
         match &mut body.rest {
             Some(rest) => rest.poll(cx),
             None => Poll::Ready(None),
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -3,29 +3,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use burdock_decide::body_memory::BodyUse;
 use burdock_decide::quarantine::BODY_START_BYTES;
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, Route, SiteConfigIndex};
 use burdock_platform::dialect::Dialect;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::forward::body::{RequestBody, has_conflicting_lengths};
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::site::body::ResponseBody;
+use crate::site::memory::HeldBytes;
 use crate::site::outbound::{Outbound, forwarded_headers};
 use crate::site::send::{ForwardOutcome, RequestFailure, forward};
 use crate::site::{SiteNode, allowances};
 
-/// Maximum size of a body of known length that is buffered, so that it can be sent again, in bytes.
+/// Maximum size of a body that is buffered, so that it can be sent again, in bytes.
 const MAX_BUFFERED_BODY_BYTES: u64 = 256 << 10;
 
 /// Time before a caller's deadline that is reserved for the answer to reach the caller.
@@ -71,7 +73,8 @@
 ) -> Result<Response<ResponseBody>, RequestFailure> {
     let admitted = admit(node, config, parts, arrived_at).await;
     let outbound = admitted.inspect_err(|e| record_refusal(node, parts, config, e, arrived_at))?;
-    let body = read_request_body(config, &outbound, parts, incoming, node).await?;
+    let body = read_request_body(config, &outbound, parts, incoming, node).await;
+    let body = body.inspect_err(|e| record_refusal(node, parts, config, e, arrived_at))?;
     let outcome = forward(node, config, &outbound, body).await;
     log_request(node, config, &outbound, &outcome);
     let answer = outcome.result?;
@@ -91,6 +94,9 @@
     if node.phase() >= Phase::Finishing {
         return Err(failure(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
     }
+    if node.body_memory.is_exhausted() {
+        return Err(no_memory_failure(node));
+    }
     if has_conflicting_lengths(&parts.headers) {
         return Err(failure(ErrorKind::BadRequest, "the length of the body is stated more than once", None));
     }
@@ -187,56 +193,76 @@
     node: &SiteNode,
 ) -> Result<RequestBody, RequestFailure> {
     let limit = config.published.caller_limits.max_body_bytes;
-    let Some(incoming) = incoming.filter(|body| !body.is_end_stream()) else {
+    let Some(mut incoming) = incoming.filter(|body| !body.is_end_stream()) else {
         return Ok(RequestBody::Buffered(Bytes::new()));
     };
     let length: Option<u64> = header(&parts.headers, &CONTENT_LENGTH).and_then(|v| v.parse().ok());
     if length.is_some_and(|length| length > limit) {
-        return Err(failure(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None));
-    }
-    if length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES) {
-        return read_start(incoming, limit, outbound.time_left(node.clock.now())).await;
+        return Err(too_long_failure(limit));
     }
-    let max_bytes = usize::try_from(limit).unwrap_or(usize::MAX);
-    let read = Limited::new(incoming, max_bytes).collect();
-    match tokio::time::timeout(outbound.time_left(node.clock.now()), read).await {
-        Ok(Ok(body)) => Ok(RequestBody::Buffered(body.to_bytes())),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(failure(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None))
-        }
-        Ok(Err(e)) => {
-            Err(failure(ErrorKind::BadRequest, &format!("the request body ended early: {e}"), None))
+    let read = read_start(&mut incoming, length, limit, node);
+    let (start, is_whole) = match tokio::time::timeout(outbound.time_left(node.clock.now()), read).await {
+        Ok(read) => read?,
+        Err(_elapsed) => {
+            return Err(failure(ErrorKind::DeadlineBefore, "the body did not arrive in time", None));
         }
-        Err(_elapsed) => Err(failure(ErrorKind::DeadlineBefore, "the body did not arrive in time", None)),
+    };
+    if is_whole {
+        return Ok(RequestBody::Buffered(start.freeze()));
+    }
+    let mut memory = node.body_memory.reserve();
+    if !memory.try_grow(node.body_memory.transit_bytes(), BodyUse::LongBody) {
+        return Err(no_memory_failure(node));
     }
+    node.counters.add(Counter::BodiesStreamed);
+    let mut body = RequestBody::streamed(start.freeze(), incoming, limit);
+    body.hold_memory(memory);
+    Ok(body)
 }
 
-// Reads what quarantine recognises a body by that is forwarded as it arrives.
+// Reads a body until its end if it may be held, otherwise as far as quarantine needs it to recognise the
+// request. Returns the bytes, and whether they are the whole body.
 async fn read_start(
-    mut incoming: Incoming,
+    incoming: &mut Incoming,
+    length: Option<u64>,
     limit: u64,
-    time_left: Duration,
-) -> Result<RequestBody, RequestFailure> {
-    let mut start = BytesMut::new();
-    let read = async {
-        while start.len() < BODY_START_BYTES
-            && let Some(frame) = incoming.frame().await
-        {
-            if let Some(data) = frame?.data_ref() {
-                start.extend_from_slice(data);
-            }
+    node: &SiteNode,
+) -> Result<(HeldBytes, bool), RequestFailure> {
+    let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES);
+    let wanted = if is_long { BODY_START_BYTES as u64 } else { MAX_BUFFERED_BODY_BYTES + 1 };
+    let expected = length.map(|length| length.min(wanted)).and_then(|bytes| usize::try_from(bytes).ok());
+    let mut start = node.body_memory.buffer();
+    while (start.as_slice().len() as u64) < wanted {
+        let Some(frame) = incoming.frame().await else {
+            return Ok((start, true));
+        };
+        let frame = frame.map_err(|e| {
+            failure(ErrorKind::BadRequest, &format!("the request body ended early: {e}"), None)
+        })?;
+        let data = frame.data_ref().map_or(&[] as &[u8], |data| data);
+        if (start.as_slice().len() + data.len()) as u64 > limit {
+            return Err(too_long_failure(limit));
+        }
+        if !start.append(data, expected) {
+            return Err(no_memory_failure(node));
         }
-        Ok(())
-    };
-    match tokio::time::timeout(time_left, read).await {
-        Ok(Ok(())) => Ok(RequestBody::streamed(start.freeze(), incoming, limit)),
-        Ok(Err(e)) => Err(body_broken(&e)),
-        Err(_elapsed) => Err(failure(ErrorKind::DeadlineBefore, "the body did not arrive in time", None)),
     }
+    Ok((start, false))
 }
 
-fn body_broken(e: &hyper::Error) -> RequestFailure {
-    failure(ErrorKind::BadRequest, &format!("the request body ended early: {e}"), None)
+fn too_long_failure(limit: u64) -> RequestFailure {
+    failure(ErrorKind::TooLarge, &format!("the body is longer than {limit} bytes"), None)
+}
+
+/// Range of the random time after which a caller may retry that was refused for lack of memory: about what a
+/// body takes to be forwarded, spread so that callers don't return together.
+const NO_MEMORY_RETRY_AFTER_MS: std::ops::Range<u64> = 150..450;
+
+fn no_memory_failure(node: &SiteNode) -> RequestFailure {
+    node.counters.add(Counter::BodiesRefused);
+    let detail = format!("no memory for the body: {} bytes are free", node.body_memory.free_bytes());
+    let retry_after = Duration::from_millis(rand::random_range(NO_MEMORY_RETRY_AFTER_MS));
+    failure(ErrorKind::Overloaded, &detail, Some(retry_after))
 }
 
 fn refusal_response(node: &SiteNode, e: &RequestFailure, headers: &HeaderMap) -> Response<ResponseBody> {
--- a/crates/burdock-node/src/site/memory.rs
+++ b/crates/burdock-node/src/site/memory.rs
@@ -6,14 +6,11 @@
 use burdock_decide::body_memory::{self, BodyUse};
 use bytes::Bytes;
 
-/// Buffers of the HTTP library and the bytes in them, for each body that is forwarded as it arrives, in bytes:
-/// those that are read from one side, and those that wait to be written to the other.
-pub const TRANSIT_BYTES: usize = 64 << 10;
-
 /// Memory of a process for bodies. Copies share it.
 #[derive(Clone, Debug)]
 pub struct BodyMemory {
     account: Arc<Account>,
+    transit_bytes: usize,
 }
 
 /// Memory that one body has taken. It is free again once this is dropped.
@@ -42,7 +39,8 @@
     #[must_use]
     pub fn new(limit_bytes: u64) -> Self {
         let capacity = i64::try_from(body_memory::account_bytes(limit_bytes)).unwrap_or(i64::MAX);
-        Self { account: Arc::new(Account { capacity, free: AtomicI64::new(capacity) }) }
+        let account = Arc::new(Account { capacity, free: AtomicI64::new(capacity) });
+        Self { account, transit_bytes: body_memory::transit_bytes(limit_bytes) }
     }
 
     /// Returns the size of the account in bytes.
@@ -69,6 +67,12 @@
         body_memory::always_held_bytes(self.account.capacity, self.free_bytes())
     }
 
+    /// Returns the memory that a body takes while it is forwarded as it arrives, in bytes.
+    #[must_use]
+    pub const fn transit_bytes(&self) -> usize {
+        self.transit_bytes
+    }
+
     /// Returns a reservation of no bytes.
     #[must_use]
     pub fn reserve(&self) -> Reservation {
@@ -87,9 +91,8 @@
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize, body_use: BodyUse) -> bool {
         let more = signed(bytes);
-        let take = |free| {
-            body_memory::may_take(self.account.capacity, free, more, body_use).then(|| free - more)
-        };
+        let take =
+            |free| body_memory::may_take(self.account.capacity, free, more, body_use).then(|| free - more);
         let is_taken = self.account.free.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok();
         if is_taken {
             self.bytes += bytes;
@@ -124,27 +127,24 @@
         &self.bytes
     }
 
-    /// Appends bytes. `length` is the final length if it is known, so that the bytes are not moved again.
-    /// Returns whether there was room; if not, the bytes are appended all the same, so that they can be
-    /// forwarded.
+    /// Appends bytes if there is room, and returns whether there was. `length` is the final length if it is
+    /// known, so that the bytes are not moved again.
+    #[must_use]
     pub fn append(&mut self, bytes: &[u8], length: Option<usize>) -> bool {
         let needed = self.bytes.len() + bytes.len();
-        let mut has_room = true;
         if needed > self.bytes.capacity() {
             let grown = length.unwrap_or_else(|| needed.next_power_of_two()).max(needed);
             let body_use = match grown {
                 0..=body_memory::SMALL_BODY_BYTES => BodyUse::SmallBody,
                 _ => BodyUse::LongBody,
             };
-            has_room = self.memory.try_grow(grown - self.bytes.capacity(), body_use);
-            let capacity = if has_room { grown } else { needed };
-            if !has_room {
-                self.memory.grow(needed - self.bytes.capacity());
+            if !self.memory.try_grow(grown - self.bytes.capacity(), body_use) {
+                return false;
             }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+            self.bytes.reserve_exact(grown - self.bytes.len());
         }
         self.bytes.extend_from_slice(bytes);
-        has_room
+        true
     }
 
     /// Returns the bytes, which keep their memory until the last copy is dropped.
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -12,6 +12,7 @@
 pub mod head_scan;
 pub mod hub;
 pub mod invalid_entries;
+pub mod memory;
 pub mod metrics;
 pub mod mirror;
 pub mod outbound;
@@ -51,10 +52,10 @@
 use crate::phase::{Phase, PhaseCell};
 use crate::shards::Sharded;
 use crate::site::allowances::Allowances;
-use crate::site::body::AnswerMemory;
 use crate::site::fleet::SiteFleet;
 use crate::site::hub::Hub;
 use crate::site::invalid_entries::InvalidEntries;
+use crate::site::memory::BodyMemory;
 use crate::site::mirror::StoreMirror;
 use crate::site::table::BackendTable;
 
@@ -93,8 +94,8 @@
     pub allowances: Allowances,
     /// Quarantine of requests that crashed backend servers.
     pub quarantine: Quarantine,
-    /// Memory for answers that wait for their callers.
-    pub answer_memory: AnswerMemory,
+    /// Memory for the request and response bodies that the process holds.
+    pub body_memory: BodyMemory,
     /// Counters for metrics.
     pub counters: Counters,
     /// Durations of callers' requests.
@@ -172,7 +173,7 @@
             hub: Hub::default(),
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
-            answer_memory: AnswerMemory::default(),
+            body_memory: BodyMemory::new(settings.memory_bytes),
             counters: Counters::default(),
             latency: Latencies::default(),
             retry_budgets: Sharded::default(),
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use burdock_decide::body_memory::read_buffer_bytes;
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{RegisteredBackend, SiteConfigIndex};
@@ -36,6 +37,7 @@
 pub struct BackendTable {
     regions: Vec<RegionName>,
     own_region: usize,
+    read_buffer_bytes: usize,
     zones: BTreeMap<ZoneName, RegionName>,
     state: Mutex<State>,
     usable: ArcSwap<UsableBackends>,
@@ -85,6 +87,7 @@
         Self {
             regions,
             own_region,
+            read_buffer_bytes: read_buffer_bytes(settings.memory_bytes),
             zones: settings.regions.clone(),
             state: Mutex::default(),
             usable: ArcSwap::default(),
@@ -349,6 +352,7 @@
             return;
         }
         let backend = Arc::new(Backend::new(registered.clone(), region, now));
+        backend.pool.set_max_buffer(self.read_buffer_bytes);
         let cold = if came_back { cold_time(config, registered) } else { Duration::ZERO };
         backend.mark_cold(cold.max(registered.remaining_cold_time), now);
         if state.is_loaded {
--- a/crates/burdock-node/tests/site_streams.rs
+++ b/crates/burdock-node/tests/site_streams.rs
@@ -111,7 +111,7 @@
         let candidate = backend.candidate(true, 1.0, true, node.clock.now());
         expect_that!(candidate.failure_ratio + candidate.slowness - 1.0, gt(0.1), "{case}");
         expect_that!(backend.own_in_flight(), eq(0), "{case}");
-        expect_that!(node.answer_memory.free_bytes(), eq(16 << 20), "{case}");
+        expect_that!(node.body_memory.free_bytes(), eq(node.body_memory.capacity_bytes()), "{case}");
     }
 }
 
@@ -154,15 +154,15 @@
     }
     drop(streams);
     site.wait_until(async || node.in_flight() == 0).await;
-    expect_that!(node.answer_memory.free_bytes(), eq(16 << 20));
+    expect_that!(node.body_memory.free_bytes(), eq(node.body_memory.capacity_bytes()));
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn answers_beyond_the_answer_memory_are_streamed_whole() {
-    // Together they are longer than the memory for answers.
+async fn answers_beyond_the_body_memory_are_streamed_whole() {
+    // Together they are longer than the memory for bodies: 24 of 64 MB.
     const CALLERS: usize = 60;
-    let site = Site::start(1, 8).await;
+    let site = Site::start_with_memory(64, 8).await;
     set_time_limit(&site, 10.0).await;
     let path = format!("/quotes/1?bytes={LARGE_BYTES}");
     let headers = [KEY];
@@ -193,7 +193,7 @@
     let left_at = Instant::now();
     site.wait_until(async || node.in_flight() == 0).await;
     expect_that!(left_at.elapsed(), lt(Duration::from_millis(500)));
-    expect_that!(node.answer_memory.free_bytes(), eq(16 << 20));
+    expect_that!(node.body_memory.free_bytes(), eq(node.body_memory.capacity_bytes()));
 }
 
 #[gtest]
--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -102,6 +102,16 @@
         site
     }
 
+    /// Starts an instance with a memory limit and `backends` backend servers of each service.
+    pub async fn start_with_memory(megabytes: u64, backends: usize) -> Self {
+        let mut site = Self::with_config().await;
+        site.add_backends(backends).await;
+        let settings = format!("limits.memory_mb={megabytes}\nlimits.max_fds=4096\n");
+        site.add_instance_with("riga", site.store_address, &settings).await;
+        site.wait_until(async || site.readiness_status(0).await == 200).await;
+        site
+    }
+
     pub async fn start_without_config(instances: usize) -> Self {
         let mut site = Self::empty().await;
         for _ in 0..instances {
--- a/crates/burdock-standin/src/site.rs
+++ b/crates/burdock-standin/src/site.rs
@@ -70,7 +70,7 @@
             json!({"name": name, "health_path": "/health", "max_connections": 800, "protocol": "h1", "tls": false,
                 "warmup_s": 3.0, "warmup_per_s": 6.0})
         };
-        let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3,
+        let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 64 << 20, "header_timeout_s": 3,
             "idle_timeout_s": 15});
         let config = json!({"version": self.version, "routes": self.routes, "limits": limits,
             "services": self.services.iter().map(service).collect::<Vec<_>>(), "tenants": self.organisations});
