Merge the memory account for bodies and the quarantine of streamed requests

Cause: long bodies in chunks took a process over its memory limit, and requests with streamed bodies that crash backend servers were never recognised.

--- a/crates/burdock-node/src/site/body.rs
+++ b/crates/burdock-node/src/site/body.rs
@@ -2,53 +2,39 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use burdock_decide::body_memory::BodyUse;
 use burdock_decide::time::Time;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use snafu::Snafu;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Sleep;
 
-use crate::clock::Clock;
 use crate::forward::pool::Connection;
+use crate::observe::counters::Counter;
 use crate::site::backend::InFlight;
+use crate::site::memory::{BodyMemory, Reservation};
+use crate::site::suspect::CrashReport;
 use crate::site::{RequestGuard, SiteNode};
 
-/// Size up to which every answer is held before any of it goes to the caller, in bytes. Until then one that
-/// breaks off can be replaced by that of another attempt.
-const ALWAYS_HELD_BYTES: usize = 64 << 10;
-
-/// Size up to which an answer is held while [`AnswerMemory`] has room, in bytes. A held answer frees its
+/// Size up to which an answer is held while there is memory for it, in bytes. A held answer frees its
 /// backend server, however slowly the caller reads it.
 const MAX_HELD_BYTES: usize = 1 << 20;
 
-/// Size up to which an answer is held that others of its connection wait behind, in bytes. It is a quarter of
-/// [`ANSWER_MEMORY_BYTES`], so that a few long answers don't take all of it.
+/// Size up to which an answer is held that others of its connection wait behind, in bytes. A few long answers
+/// must not take all memory for bodies.
 const MAX_HELD_FOR_OTHERS_BYTES: usize = 4 << 20;
 
-/// Number of chunks from which held ones are joined. Each chunk keeps the buffer that it was read into.
+/// Number of chunks from which held ones are joined, each once. Each chunk keeps the buffer that it was read
+/// into.
 const MAX_HELD_CHUNKS: usize = 64;
 
 /// Size up to which held bytes are handed to the HTTP server at once.
 const MAX_FRAME_BYTES: usize = 16 << 10;
 
-/// Memory for answers beyond [`ALWAYS_HELD_BYTES`] of all requests of an instance, in bytes.
-const ANSWER_MEMORY_BYTES: usize = 16 << 20;
-
-/// Unit in which answer memory is taken, in bytes.
-const MEMORY_UNIT_BYTES: usize = 1 << 10;
-
-/// Memory of an instance for the parts of answers that it holds.
-#[derive(Clone, Debug)]
-pub struct AnswerMemory {
-    units: Arc<Semaphore>,
-}
-
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub struct ResponseBody {
@@ -87,46 +73,31 @@
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
     // Released at the end of the body.
-    source: Option<(Connection, InFlight)>,
-    is_reusable: bool,
-    clock: Clock,
+    source: Option<AnswerSource>,
+    transit_bytes: usize,
+}
+
+/// Where an answer comes from.
+#[derive(Debug)]
+pub struct AnswerSource {
+    /// Connection that the answer arrives on.
+    pub connection: Connection,
+    /// Counts the request as in flight at the backend server.
+    pub in_flight: InFlight,
+    /// Whether the connection may carry another request after the answer.
+    pub is_reusable: bool,
+    /// Whether the complete answer shows that the request crashes no backend server.
+    pub is_success: bool,
+    /// What to record if the backend server crashes before the answer's end.
+    pub crash: CrashReport,
 }
 
 #[derive(Debug, Default)]
 struct InUse {
-    memory: Option<OwnedSemaphorePermit>,
+    memory: Option<Reservation>,
     request: Option<RequestGuard>,
 }
 
-impl Default for AnswerMemory {
-    fn default() -> Self {
-        Self { units: Arc::new(Semaphore::new(ANSWER_MEMORY_BYTES / MEMORY_UNIT_BYTES)) }
-    }
-}
-
-impl AnswerMemory {
-    /// Returns the memory that is free, in bytes.
-    #[must_use]
-    pub fn free_bytes(&self) -> usize {
-        self.units.available_permits() * MEMORY_UNIT_BYTES
-    }
-
-    // Adds memory for `bytes` to `taken`. Returns `false` if there is none.
-    fn take(&self, taken: &mut Option<OwnedSemaphorePermit>, bytes: usize) -> bool {
-        let Ok(count) = u32::try_from(bytes.div_ceil(MEMORY_UNIT_BYTES)) else {
-            return false;
-        };
-        let Ok(more) = Arc::clone(&self.units).try_acquire_many_owned(count) else {
-            return false;
-        };
-        match taken {
-            Some(permit) => permit.merge(more),
-            None => *taken = Some(more),
-        }
-        true
-    }
-}
-
 impl ResponseBody {
     /// Creates a body from bytes that are complete.
     #[must_use]
@@ -146,7 +117,8 @@
     ///
     /// # Errors
     /// When the body breaks off. Nothing of it has been forwarded then.
-    pub async fn hold_rest(&mut self, memory: &AnswerMemory) -> Result<(), AnswerError> {
+    pub async fn hold_rest(&mut self, memory: &BodyMemory) -> Result<(), AnswerError> {
+        let taken = self.in_use.memory.get_or_insert_with(|| memory.reserve());
         let mut bytes: usize = self.held.iter().map(Bytes::len).sum();
         while let Some(rest) = &mut self.rest
             && bytes <= MAX_HELD_FOR_OTHERS_BYTES
@@ -164,7 +136,8 @@
             if self.held.len() >= MAX_HELD_CHUNKS {
                 self.held = VecDeque::from([concat(&self.held)]);
             }
-            if !memory.take(&mut self.in_use.memory, length) {
+            if !taken.try_grow(length, BodyUse::HeldAnswer) {
+                taken.grow(length);
                 return Ok(());
             }
         }
@@ -189,16 +162,16 @@
 /// When the connection fails before the body's end.
 pub async fn read_answer(
     mut incoming: Incoming,
-    (connection, in_flight): (Connection, InFlight),
-    is_reusable: bool,
+    source: AnswerSource,
     node: &SiteNode,
     deadline: Time,
 ) -> Result<ReadAnswer, hyper::Error> {
-    let (mut held, mut bytes, mut permit) = (VecDeque::new(), 0, None);
-    while bytes <= ALWAYS_HELD_BYTES || (bytes <= MAX_HELD_BYTES && permit.is_some()) {
+    let (mut held, mut bytes, mut unjoined) = (VecDeque::new(), 0, 0);
+    let mut memory = node.body_memory.reserve();
+    loop {
         let Some(frame) = incoming.frame().await else {
-            let in_use = InUse { memory: permit, request: None };
-            return Ok(ReadAnswer::Whole(ResponseBody { held, rest: None, in_use }, connection));
+            let in_use = InUse { memory: Some(memory), request: None };
+            return Ok(ReadAnswer::Whole(ResponseBody { held, rest: None, in_use }, source.connection));
         };
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -206,21 +179,27 @@
         let length = data.len();
         bytes += length;
         held.push_back(data);
-        if held.len() >= MAX_HELD_CHUNKS {
-            held = VecDeque::from([concat(&held)]);
+        unjoined += 1;
+        if unjoined >= MAX_HELD_CHUNKS {
+            let joined = concat(&held.split_off(held.len() - unjoined));
+            held.push_back(joined);
+            unjoined = 0;
         }
-        if bytes > ALWAYS_HELD_BYTES && !node.answer_memory.take(&mut permit, length) {
+        if bytes <= node.body_memory.always_held_bytes() {
+            memory.grow(length);
+        } else if bytes > MAX_HELD_BYTES || !memory.try_grow(length, BodyUse::HeldAnswer) {
+            memory.grow(length + node.body_memory.transit_bytes());
             break;
         }
     }
+    node.counters.add(Counter::AnswersStreamed);
     let rest = Rest {
         incoming,
         deadline: Box::pin(tokio::time::sleep_until(node.clock.instant(deadline))),
-        source: Some((connection, in_flight)),
-        is_reusable,
-        clock: node.clock,
+        source: Some(source),
+        transit_bytes: node.body_memory.transit_bytes(),
     };
-    let in_use = InUse { memory: permit, request: None };
+    let in_use = InUse { memory: Some(memory), request: None };
     Ok(ReadAnswer::Partial(ResponseBody { held, rest: Some(Box::new(rest)), in_use }))
 }
 
@@ -249,7 +228,9 @@
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         // What was held has been sent.
-        body.in_use.memory = None;
+        if let Some(memory) = &mut body.in_use.memory {
+            memory.shrink_to(body.rest.as_ref().map_or(0, |rest| rest.transit_bytes));
+        }
         match &mut body.rest {
             Some(rest) => rest.poll(cx),
             None => Poll::Ready(None),
@@ -281,10 +262,8 @@
             Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
             Some(Err(source)) => Poll::Ready(Some(Err(self.break_off(AnswerError::Broken { source })))),
             None => {
-                if let Some((connection, in_flight)) = self.source.take()
-                    && self.is_reusable
-                {
-                    in_flight.backend().pool.release(connection);
+                if let Some(source) = self.source.take() {
+                    source.finish();
                 }
                 Poll::Ready(None)
             }
@@ -293,9 +272,24 @@
 
     // Closes the connection to the backend server, which cancels the request there.
     fn break_off(&mut self, e: AnswerError) -> AnswerError {
-        if let Some((_connection, in_flight)) = self.source.take() {
-            in_flight.backend().record_broken_answer(self.clock.now());
+        if let Some(AnswerSource { crash, .. }) = self.source.take() {
+            crash.backend.record_broken_answer(crash.node.clock.now());
+            if matches!(&e, AnswerError::Broken { source } if !source.is_parse()) {
+                crash.spawn();
+            }
         }
         e
     }
 }
+
+impl AnswerSource {
+    // Records that the answer is complete.
+    fn finish(self) {
+        if self.is_success {
+            self.crash.suspect.clear(&self.crash.node);
+        }
+        if self.is_reusable {
+            self.in_flight.backend().pool.release(self.connection);
+        }
+    }
+}
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -145,7 +145,7 @@
     expect_that!(others.load(Ordering::Relaxed), eq(2));
     let node = &site.instances[0].node;
     site.wait_until(async || node.in_flight() == 0).await;
-    expect_that!(node.answer_memory.free_bytes(), eq(16 << 20));
+    expect_that!(node.body_memory.free_bytes(), eq(node.body_memory.capacity_bytes()));
     expect_that!(node.counters.get(Counter::AnswersHeldForOthers), eq(1));
 }
 
