Decide when a second copy of a slow request is sent

A few slow responses spoil the latency of requests that may be repeated. The decision about hedged requests is a set of functions without input or output: the delay from the recent times, the reasons against a copy, the credit that bounds copies by a limit, and the share of the retry budget kept for retries.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod connectivity;
 pub mod entries;
 pub mod headers;
+pub mod hedge;
 pub mod limit;
 pub mod membership;
 pub mod once;
--- a/crates/burdock-decide/src/retry.rs
+++ b/crates/burdock-decide/src/retry.rs
@@ -87,6 +87,21 @@
         self.balance_milliretries -= MILLIRETRIES_PER_RETRY;
         true
     }
+
+    /// Takes one attempt that is not a retry from the budget. Half of the budget is kept for retries; one too
+    /// small for that must be full. Returns whether the balance allowed it.
+    ///
+    /// ```
+    /// use burdock_decide::retry::RetryBudget;
+    /// let mut budget = RetryBudget::new(4000, 500);
+    /// assert!(budget.withdraw_spare() && budget.withdraw_spare());
+    /// assert!(!budget.withdraw_spare() && budget.withdraw());
+    /// ```
+    pub const fn withdraw_spare(&mut self) -> bool {
+        let needed = self.max_milliretries / 2 + MILLIRETRIES_PER_RETRY;
+        let needed = if needed < self.max_milliretries { needed } else { self.max_milliretries };
+        self.balance_milliretries >= needed && self.withdraw()
+    }
 }
 
 /// What the decision about a retry depends on.
--- a/crates/burdock-model/src/lib.rs
+++ b/crates/burdock-model/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod fleet;
 pub mod hash;
+pub mod hedging;
 pub mod ids;
 pub mod jsonc;
 pub mod key;
