Send second copies of slow repeatable requests on the platform

A response that is missing for unusually long delays its caller and all requests that the caller sent behind it. The first whole response wins; the other attempt's connection is closed. Copies take part of the retry budget only while half of it is left, and none are sent under pressure, for suspects, streamed bodies, or requests that were admitted by another configuration than the one in force.

The reload message compared settings of the command line with the file and so always reported a change when a metrics port was given; it no longer does.

--- a/crates/burdock-decide/src/hedge.rs
+++ b/crates/burdock-decide/src/hedge.rs
@@ -66,8 +66,9 @@
 /// Number of attempts that a refusal is at least related to, so that a single one does not stop hedging.
 const MIN_ATTEMPTS: f64 = 60.0;
 
-/// Service time relative to the usual one from which a backend server counts as slow.
-pub const SLOW_FACTOR: f64 = 1.5;
+/// Service time relative to the usual one from which a backend server counts as slow. A single request that
+/// takes seven times as long, as another instance measured it, raises the estimate to 1.6.
+pub const SLOW_FACTOR: f64 = 1.75;
 
 /// Number of times that a request is looked at again after its first delay.
 pub const MAX_LOOKS: u32 = 5;
--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::error::{Error, ErrorKind, Result};
+use crate::hedging::HedgeLimits;
 use crate::ids::{BackendId, OrganisationName, RegionName, RouteName, ServiceName, ZoneName};
 
 /// Published version of a deployment's configuration.
@@ -197,6 +198,8 @@
     FleetSize(usize),
     /// Sum of the weights of the instances in the fleet when it was last written.
     FleetWeight(u64),
+    /// Limits on second copies of requests; `None` when the record is gone.
+    Hedging(Option<HedgeLimits>),
 }
 
 /// A deployment's configuration with indices for look-ups.
--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::hedging::HedgeLimit;
 use crate::ids::{InstanceId, RegionName, ZoneName};
 
 /// Settings of an instance on the platform.
@@ -31,6 +32,8 @@
     pub max_open_files: usize,
     /// Bounds set by the operators.
     pub bounds: Bounds,
+    /// Limit on second copies of requests, where the store holds none.
+    pub hedge_limit: HedgeLimit,
 }
 
 /// Addresses on which an instance on the platform listens.
--- a/crates/burdock-node/src/cli.rs
+++ b/crates/burdock-node/src/cli.rs
@@ -6,6 +6,7 @@
 
 use bpaf::Bpaf;
 use burdock_model::error::{Error, ErrorKind, Result};
+use burdock_model::hedging::HedgeLimit;
 use burdock_model::jsonc;
 use burdock_standin::backend::BackendStandin;
 use burdock_standin::store::StoreStandin;
@@ -40,6 +41,9 @@
         /// Port for metrics; none are served without one
         #[bpaf(argument("PORT"))]
         metrics_port: Option<u16>,
+        /// Share of requests for which a second copy may be sent, up to 0.2; the store may hold another
+        #[bpaf(argument("SHARE"), fallback(HedgeLimit::default()), display_fallback)]
+        hedge_limit: HedgeLimit,
     },
     /// Check a settings file, or a tree, and say what is wrong with it.
     #[bpaf(command)]
@@ -142,7 +146,7 @@
 fn execute(command: Command) -> Result<()> {
     match command {
         Command::Run { settings } => run(InstanceSettings::load(&settings)?),
-        Command::Site { settings, metrics_port } => site(settings, metrics_port),
+        Command::Site { settings, metrics_port, hedge_limit } => site(settings, metrics_port, hedge_limit),
         Command::Check { settings, tree, platform_settings, platform_config } => {
             check(settings, tree, platform_settings, platform_config)
         }
@@ -220,10 +224,11 @@
 /// Threads for requests per core of the machine.
 const SITE_THREADS_PER_CORE: f64 = 1.0;
 
-fn site(path: Option<PathBuf>, metrics_port: Option<u16>) -> Result<()> {
+fn site(path: Option<PathBuf>, metrics_port: Option<u16>, hedge_limit: HedgeLimit) -> Result<()> {
     logs::init_lines().map_err(|e| internal(&e))?;
     let path = path.unwrap_or_else(burdock_platform::settings::path);
     let mut settings = burdock_platform::settings::load(&path)?;
+    settings.hedge_limit = hedge_limit;
     settings.listen.metrics = metrics_port.map(|port| SocketAddr::new(settings.listen.peers.ip(), port));
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a float cast saturates")]
     let threads = (settings.cores * SITE_THREADS_PER_CORE).ceil().max(1.0) as usize;
--- a/crates/burdock-node/src/demo_site.rs
+++ b/crates/burdock-node/src/demo_site.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
+use burdock_model::hedging::HedgeLimit;
 use burdock_model::prelude::*;
 use burdock_model::site_settings::{Bounds, SiteListen, SiteSettings};
 use burdock_standin::sample::{REGIONS, SampleBackend};
@@ -110,6 +111,7 @@
         link_mbps: 1000.0,
         max_open_files: 1024,
         bounds: Bounds::default(),
+        hedge_limit: HedgeLimit::default(),
     })
 }
 
--- a/crates/burdock-node/src/lib.rs
+++ b/crates/burdock-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod forward;
+pub mod hedging;
 pub mod limits;
 pub mod node;
 pub mod observe;
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -48,6 +48,18 @@
     Retries => "attempts.retries",
     /// Hedged attempts.
     Hedges => "attempts.hedges",
+    /// Hedged attempts whose response went to the caller.
+    HedgesWon => "hedges.won",
+    /// Attempts cancelled because the other attempt of a hedged request was answered first.
+    HedgesCancelled => "hedges.cancelled",
+    /// Slow requests without a hedged attempt because the limit was used up.
+    HedgesOverLimit => "hedges.refused.limit",
+    /// Slow requests without a hedged attempt because the retry budget is kept for retries.
+    HedgesOverRetryBudget => "hedges.refused.retry_budget",
+    /// Slow requests without a hedged attempt because their service was under pressure.
+    HedgesUnderPressure => "hedges.refused.pressure",
+    /// Slow requests without a hedged attempt because no other backend server was fit for it.
+    HedgesWithoutBackend => "hedges.refused.no_backend",
     /// Attempts not made because the retry budget was exhausted.
     RetryBudgetSpent => "attempts.over_budget",
     /// Steering answers sent.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a backend server.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use burdock_decide::headers::HOP_BY_HOP;
@@ -53,6 +54,8 @@
     pub placement: &'a Placement,
     /// Fingerprint by which quarantine recognises the request.
     pub fingerprint: u64,
+    /// Set when the head of the answer has arrived.
+    pub has_head: &'a AtomicBool,
 }
 
 /// An attempt without an answer that may go to the caller.
@@ -108,6 +111,7 @@
                 return Err(self.written_failure(ErrorKind::DeadlineAfter, "no answer by the deadline"));
             }
         };
+        self.has_head.store(true, Ordering::Relaxed);
         self.record_reported_state(&resp);
         if let Some(failure) = self.check_head(&resp) {
             return Err(failure);
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -20,6 +20,7 @@
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::site::body::ResponseBody;
+use crate::site::hedge::HedgeResult;
 use crate::site::outbound::{Outbound, forwarded_headers};
 use crate::site::send::{ForwardOutcome, RequestFailure, forward};
 use crate::site::{SiteNode, allowances};
@@ -263,6 +264,8 @@
         Err(e) => (Dialect::status(e.error.kind), e.error.to_string()),
     };
     let placement = outcome.placement.as_ref();
+    let answer = outcome.result.as_ref().ok();
+    let answering = answer.and_then(|a| outcome.tried.iter().find(|b| b.registered.id == a.backend));
     log::info!(
         id = outbound.attempt_id.to_str().unwrap_or_default(),
         expected_ms = placement.map_or(0.0, |p| p.expected_ms.round()),
@@ -274,7 +277,8 @@
         service = outcome.service.as_str(),
         version = config.published.version,
         tried:? = tried,
-        zone = outcome.tried.last().map_or("", |b| b.registered.zone.as_str()),
+        hedge = outcome.hedge.map_or("", HedgeResult::as_str),
+        zone = answering.or(outcome.tried.last()).map_or("", |b| b.registered.zone.as_str()),
         status = status,
         took_ms = millis(node.clock.now().since(outbound.arrived_at));
         "request {error}"
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -51,6 +51,7 @@
         ("config_rejected_revision", node.rejected_config.load().as_ref().map_or(0, |r| r.revision) as f64),
         ("answer_memory_free_bytes", node.answer_memory.free_bytes() as f64),
         ("requests_in_flight", node.in_flight() as f64),
+        ("hedge_limit", node.hedge_limits.load().limit.unwrap_or(node.settings.hedge_limit).share()),
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
         ("store_age_s", store_age),
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet_view;
 pub mod handle;
 pub mod head_scan;
+pub mod hedge;
 pub mod hub;
 pub mod invalid_entries;
 pub mod metrics;
@@ -35,6 +36,7 @@
 use burdock_decide::split::WeightedRoundRobin;
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
+use burdock_model::hedging::{HedgeLimit, HedgeLimits};
 use burdock_model::ids::InstanceIncarnation;
 use burdock_model::prelude::*;
 use burdock_model::site::{Route, SiteConfigIndex};
@@ -45,6 +47,7 @@
 
 use crate::clock::Clock;
 use crate::forward::quarantine::Quarantine;
+use crate::hedging::HedgeState;
 use crate::observe::counters::Counters;
 use crate::observe::latency::LatencyHistogram;
 use crate::phase::{Phase, PhaseCell};
@@ -92,6 +95,10 @@
     pub allowances: Allowances,
     /// Quarantine of requests that crashed backend servers.
     pub quarantine: Quarantine,
+    /// Credit and recent times for second copies of requests.
+    pub hedging: HedgeState,
+    /// Limits on second copies that the store holds.
+    pub hedge_limits: ArcSwap<HedgeLimits>,
     /// Memory for answers that wait for their callers.
     pub answer_memory: AnswerMemory,
     /// Counters for metrics.
@@ -171,6 +178,8 @@
             hub: Hub::default(),
             allowances: Allowances::default(),
             quarantine: Quarantine::default(),
+            hedging: HedgeState::default(),
+            hedge_limits: ArcSwap::default(),
             answer_memory: AnswerMemory::default(),
             counters: Counters::default(),
             latency: Latencies::default(),
@@ -310,6 +319,19 @@
         self.with_retry_budget(service, RetryBudget::withdraw)
     }
 
+    /// Takes one attempt from a service's retry budget for a second copy of a request, which leaves half of
+    /// the budget for retries. Returns `false` if too little is left.
+    #[must_use]
+    pub fn withdraw_spare_retry(&self, service: &ServiceName) -> bool {
+        self.with_retry_budget(service, RetryBudget::withdraw_spare)
+    }
+
+    /// Returns the limit on second copies of a service's requests.
+    #[must_use]
+    pub fn hedge_limit(&self, service: &ServiceName) -> HedgeLimit {
+        self.hedge_limits.load().of_service(service, self.settings.hedge_limit)
+    }
+
     fn with_retry_budget<R>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> R) -> R {
         const MILLIRETRIES_PER_RETRY: f64 = 1000.0;
         let bounds = &self.settings.bounds;
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -1,12 +1,13 @@
 //! Forwards a request to backend servers, with retries, until one answers.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use burdock_decide::cold;
 use burdock_decide::place::{Placement, PlacementView, local_weight, max_load_per_slot, place_request};
 use burdock_decide::quarantine::{QUARANTINE_TIME, QuarantineDecision, SHARED_STRIKES_TO_REFUSE};
-use burdock_decide::retry::{RetryView, may_retry};
+use burdock_decide::retry::{RetryView, SendProgress, may_retry};
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{Service, SiteConfigIndex};
@@ -15,9 +16,10 @@
 use crate::forward::body::RequestBody;
 use crate::observe::counters::Counter;
 use crate::site::SiteNode;
-use crate::site::attempt::Attempt;
+use crate::site::attempt::{Attempt, AttemptFailure};
 use crate::site::backend::Backend;
 use crate::site::body::ResponseBody;
+use crate::site::hedge::{HedgeResult, run_first_attempt};
 use crate::site::outbound::Outbound;
 
 /// Time that must remain before the deadline for another attempt.
@@ -48,8 +50,10 @@
     pub result: Result<BackendAnswer, RequestFailure>,
     /// Backend servers that were tried, in order.
     pub tried: Vec<Arc<Backend>>,
-    /// Placement of the last attempt.
+    /// Placement of the last attempt, or of the one that answered.
     pub placement: Option<Placement>,
+    /// How the second copy of the request ended, if one was sent.
+    pub hedge: Option<HedgeResult>,
     /// Service that was selected for the request.
     pub service: ServiceName,
 }
@@ -67,6 +71,7 @@
         result: Err(no_backend_failure()),
         tried: Vec::new(),
         placement: None,
+        hedge: None,
         service: service.name.clone(),
     };
     let fingerprint = outbound.fingerprint(&body);
@@ -85,6 +90,7 @@
             return outcome;
         };
         let Some((backend, placement)) = select_backend(node, outbound, service, &outcome.tried, now) else {
+            node.hedging.record_refusal(&service.name, now);
             if outcome.tried.is_empty() {
                 outcome.result = Err(no_capacity_failure(node, &service.name, outbound));
             }
@@ -92,36 +98,66 @@
         };
         outcome.tried.push(Arc::clone(&backend));
         outcome.placement = Some(placement);
-        let attempt =
-            Attempt { node, outbound, service, backend: &backend, placement: &placement, fingerprint };
-        let failure = match attempt.run(current).await {
+        let attempt = Attempt {
+            node,
+            outbound,
+            service,
+            backend: &backend,
+            placement: &placement,
+            fingerprint,
+            has_head: &AtomicBool::new(false),
+        };
+        let result = if outcome.tried.len() == 1 {
+            run_first_attempt(&attempt, config, current, &mut outcome).await
+        } else {
+            attempt.run(current).await.map_err(|failure| vec![failure])
+        };
+        let failures = match result {
             Ok(answer) => {
                 outcome.result = Ok(answer);
                 return outcome;
             }
-            Err(failure) => failure,
+            Err(failures) => failures,
         };
+        let (mut progress, mut unsent_body) = (None, None);
+        for failure in failures {
+            if failure.progress == SendProgress::Shed {
+                node.hedging.record_refusal(&service.name, node.clock.now());
+            }
+            progress = Some(combined_progress(progress, failure.progress));
+            let AttemptFailure { error, body, answer, .. } = failure;
+            unsent_body = body.or(unsent_body);
+            outcome.result = match (answer, outcome.result) {
+                (Some(answer), _) => Ok(*answer),
+                // An error answer of a backend server tells the caller more than the failure of a later
+                // attempt.
+                (None, Ok(earlier)) => Ok(earlier),
+                (None, Err(earlier)) => Err(attempts_failure(error, may_have_run(&earlier.error))),
+            };
+        }
         let view = RetryView {
-            progress: failure.progress,
+            progress: progress.unwrap_or(SendProgress::Written),
             repeatable: outbound.route.repeatable,
-            body_replayable: failure.body.is_some() || copy.is_some(),
+            body_replayable: unsent_body.is_some() || copy.is_some(),
             attempts_made: u8::try_from(outcome.tried.len()).unwrap_or(u8::MAX),
             max_retries: u8::try_from(outbound.route.max_attempts - 1).unwrap_or(u8::MAX),
             now: node.clock.now(),
             deadline: outbound.deadline,
             min_attempt_time: MIN_ATTEMPT_TIME,
         };
-        outcome.result = match (failure.answer, outcome.result) {
-            (Some(answer), _) => Ok(*answer),
-            // An error answer of a backend server tells the caller more than the failure of a later attempt.
-            (None, Ok(earlier)) => Ok(earlier),
-            (None, Err(earlier)) => Err(attempts_failure(failure.error, may_have_run(&earlier.error))),
-        };
         if !may_retry(&view) || !node.withdraw_retry(&service.name) {
             return outcome;
         }
         node.counters.add(Counter::Retries);
-        body = failure.body.or(copy);
+        body = unsent_body.or(copy);
+    }
+}
+
+// How much of the request was sent by attempts that ran at the same time: some if any of them sent some.
+const fn combined_progress(earlier: Option<SendProgress>, last: SendProgress) -> SendProgress {
+    match earlier {
+        Some(SendProgress::Written) => SendProgress::Written,
+        _ => last,
     }
 }
 
@@ -182,8 +218,8 @@
 /// it is admitted before requests of callers that were not refused yet.
 const RETURNING_CALLER_LOAD_PER_SLOT: f64 = 0.5;
 
-// Selects the backend server for the next attempt among those that have not been tried.
-fn select_backend(
+/// Selects the backend server for the next attempt among those that have not been tried.
+pub fn select_backend(
     node: &SiteNode,
     outbound: &Outbound<'_>,
     service: &Service,
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -7,7 +7,7 @@
 
 use burdock_model::ids::InstanceIncarnation;
 use burdock_model::prelude::*;
-use burdock_model::site_settings::SiteSettings;
+use burdock_model::site_settings::{SiteListen, SiteSettings};
 use burdock_wire::client::PeerClient;
 use burdock_wire::messages::Hello;
 use tokio::net::TcpListener;
@@ -146,7 +146,14 @@
 // Settings can't change while the process runs, since its addresses are bound. A changed file is only
 // validated, and the log says whether it takes effect at the next start.
 fn check_reloaded_settings(node: &SiteNode, path: &Path) {
-    match burdock_platform::settings::load(path) {
+    let (metrics, hedge_limit) = (node.settings.listen.metrics, node.settings.hedge_limit);
+    // Two settings come from the command line.
+    let loaded = burdock_platform::settings::load(path).map(|settings| SiteSettings {
+        listen: SiteListen { metrics, ..settings.listen },
+        hedge_limit,
+        ..settings
+    });
+    match loaded {
         Ok(settings) if settings == node.settings => log::info!("settings read again: no change"),
         Ok(_) => log::info!("settings read again: changes take effect at the next start"),
         Err(e) => log::warn!("settings could not be read again, the current ones stay in force: {e}"),
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -7,9 +7,10 @@
 use burdock_decide::backoff::backoff_delay;
 use burdock_decide::time::Time;
 use burdock_model::error::Error;
+use burdock_model::hedging::HedgeLimits;
 use burdock_model::ids::{BackendId, InstanceId, ZoneName};
 use burdock_model::site::{SiteChange, SiteConfigIndex};
-use burdock_platform::decode::{INSTANCE_PREFIX, decode_change, is_backend_entry, is_config};
+use burdock_platform::decode::{INSTANCE_PREFIX, decode_change, is_backend_entry, is_config, is_hedging};
 use burdock_platform::kv::{Record, Records, WatchOutcome};
 use burdock_platform::store::StoreResult;
 use burdock_wire::messages::StoreDelta;
@@ -168,6 +169,9 @@
         for record in records {
             apply_record(node, record, Some(&mut listed));
         }
+        if !records.iter().any(is_hedging) {
+            apply_hedge_limits(node, None);
+        }
         let now = node.clock.now();
         node.backends.retain_listed(&listed.backends, &listed.evacuated, &node.config.load(), now);
         for instance in &node.fleet.view().listed {
@@ -280,5 +284,17 @@
         }
         SiteChange::FleetSize(count) => node.fleet.set_recorded_size(count),
         SiteChange::FleetWeight(weight) => node.fleet.set_recorded_weight(weight),
+        SiteChange::Hedging(limits) => apply_hedge_limits(node, limits),
+    }
+}
+
+fn apply_hedge_limits(node: &SiteNode, limits: Option<HedgeLimits>) {
+    let limits = limits.unwrap_or_default();
+    if **node.hedge_limits.load() != limits {
+        log::info!(
+            limit = limits.limit.unwrap_or(node.settings.hedge_limit).share(), services = limits.services.len();
+            "limits on second copies in force"
+        );
+        node.hedge_limits.store(Arc::new(limits));
     }
 }
