--- a/crates/burdock-ctl/tests/unit/trace.rs
+++ b/crates/burdock-ctl/tests/unit/trace.rs
@@ -49,3 +49,18 @@
         ends_with("second refused: `farm` is over its rate: path=/quotes/1 status=429")
     );
 }
+
+#[gtest]
+fn trace_of_hedged_request_shows_both_attempts() {
+    const LOG: &str = r#"
+{"timestamp":"2026-12-04T14:15:44.900000+00:00","level":"INFO","message":"second copy sent: no response in the usual time","kvs":{"id":"c7-480","first":"quotes-1","backend":"quotes-2","after_ms":765}}
+{"timestamp":"2026-12-04T14:15:45.400000+00:00","level":"INFO","message":"request","kvs":{"id":"c7-480","status":200,"tried":"[\"quotes-1\",\"quotes-2\"]","hedge":"won"}}
+"#;
+    let mut lines = Vec::new();
+    read_log(LOG.as_bytes(), "third", &mut lines).unwrap();
+    let text: Vec<String> = trace_lines("c7-480", &lines).into_iter().map(LogLine::to_text).collect();
+    expect_that!(text.len(), eq(2));
+    expect_that!(text[0], contains_substring("after_ms=765 backend=quotes-2 first=quotes-1"));
+    expect_that!(text[1], contains_substring("hedge=won"));
+    expect_that!(text[1], contains_substring(r#"tried=["quotes-1","quotes-2"]"#));
+}
--- a/crates/burdock-model/src/hedging.rs
+++ b/crates/burdock-model/src/hedging.rs
@@ -29,6 +29,10 @@
 pub struct HedgeLimit(u32);
 
 impl HedgeLimit {
+    /// Limit of a settings tree that sets `hedge_after` without a limit: that of the retry budget, which alone
+    /// bounded second copies before limits existed.
+    pub const IMPLIED: Self = Self(100_000);
+
     /// Creates a limit from a fraction.
     ///
     /// # Errors
--- a/crates/burdock-model/src/settings.rs
+++ b/crates/burdock-model/src/settings.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::hedging::HedgeLimit;
 use crate::units::{Millis, Rate, Size};
 
 /// Level of the tree, from the outermost to the innermost.
@@ -42,9 +43,12 @@
     /// Number of attempts after the first.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retries: Option<u8>,
-    /// Delay before a hedged copy of a repeatable request is sent; `0ms` disables hedging.
+    /// Fixed delay before a hedged copy of a repeatable request is sent; with `0ms` it is learned.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub hedge_after: Option<Millis>,
+    /// Share of requests for which a hedged copy may be sent; 0 disables hedging.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub hedge_limit: Option<HedgeLimit>,
     /// Whether the organisation may use the route.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub allow: Option<bool>,
@@ -79,6 +83,8 @@
     pub retries: Sourced<u8>,
     /// See [`LevelSettings::hedge_after`].
     pub hedge_after: Sourced<Millis>,
+    /// See [`LevelSettings::hedge_limit`].
+    pub hedge_limit: Sourced<HedgeLimit>,
     /// See [`LevelSettings::allow`].
     pub allow: Sourced<bool>,
     /// See [`LevelSettings::spill`].
@@ -95,6 +101,7 @@
             body_limit: built_in(Size(4 << 20)),
             retries: built_in(2),
             hedge_after: built_in(Millis(0)),
+            hedge_limit: built_in(HedgeLimit::default()),
             allow: built_in(true),
             spill: built_in(true),
         }
@@ -102,6 +109,13 @@
 }
 
 impl ResolvedSettings {
+    /// Returns the limit on hedged copies in force.
+    #[must_use]
+    pub fn effective_hedge_limit(&self) -> HedgeLimit {
+        let is_implied = self.hedge_limit.from == Level::Default && self.hedge_after.value.0 > 0;
+        if is_implied { HedgeLimit::IMPLIED } else { self.hedge_limit.value }
+    }
+
     /// Overrides inherited settings with those of one level.
     ///
     /// ```
@@ -121,6 +135,7 @@
             body_limit: overridden(self.body_limit, level.body_limit, from),
             retries: overridden(self.retries, level.retries, from),
             hedge_after: overridden(self.hedge_after, level.hedge_after, from),
+            hedge_limit: overridden(self.hedge_limit, level.hedge_limit, from),
             allow: overridden(self.allow, level.allow, from),
             spill: overridden(self.spill, level.spill, from),
         }
--- a/crates/burdock-model/src/snapshot.rs
+++ b/crates/burdock-model/src/snapshot.rs
@@ -6,6 +6,7 @@
 
 use crate::blocks::BlockTable;
 use crate::error::Result;
+use crate::hedging::HedgeLimit;
 use crate::ids::{
     BackendId, KeyId, OrganisationName, RegionName, Revision, RouteName, ServiceName, ZoneName,
 };
@@ -119,8 +120,10 @@
     pub body_limit: Size,
     /// Number of attempts after the first.
     pub retries: u8,
-    /// Delay before a hedged copy is sent; zero disables hedging.
+    /// Fixed delay before a hedged copy is sent; with zero it is learned.
     pub hedge_after: Millis,
+    /// Share of requests for which a hedged copy may be sent; 0 disables hedging.
+    pub hedge_limit: HedgeLimit,
 }
 
 #[derive(Debug)]
@@ -297,5 +300,6 @@
         body_limit: settings.body_limit.value,
         retries: settings.retries.value,
         hedge_after: settings.hedge_after.value,
+        hedge_limit: settings.effective_hedge_limit(),
     }
 }
--- a/crates/burdock-model/tests/tree.rs
+++ b/crates/burdock-model/tests/tree.rs
@@ -3,6 +3,7 @@
 use burdock_model::blocks::BlockTable;
 use burdock_model::manifest::{MAX_BLOB_BYTES, split_tree};
 use burdock_model::prelude::*;
+use burdock_model::settings::{Level, LevelSettings, ResolvedSettings};
 use burdock_model::treepath::{Edit, apply};
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -147,3 +148,19 @@
 fn to_hex(bytes: &[u8]) -> String {
     bytes.iter().map(|b| format!("{b:02x}")).collect()
 }
+
+#[gtest]
+fn hedge_limit_is_inherited_checked_and_implied_by_a_fixed_delay() {
+    let too_high = json!({"settings": {"hedge_limit": 0.25}});
+    expect_that!(tree_error(&tree_with_organisation(&too_high)), contains_substring("between 0 and 0.2"));
+    let text = json!({"settings": {"hedge_limit": "much"}});
+    expect_that!(tree_error(&tree_with_organisation(&text)), contains_substring("expected f64"));
+    let limit_of = |settings: Value| {
+        let level = serde_json::from_value::<LevelSettings>(settings).unwrap();
+        ResolvedSettings::default().overlay(&level, Level::Fleet).effective_hedge_limit().share()
+    };
+    expect_that!(limit_of(json!({})), eq(0.0));
+    expect_that!(limit_of(json!({"hedge_limit": 0.05})), eq(0.05));
+    expect_that!(limit_of(json!({"hedge_after": "1s"})), eq(0.1));
+    expect_that!(limit_of(json!({"hedge_after": "1s", "hedge_limit": 0})), eq(0.0));
+}
--- a/crates/burdock-node/src/forward/mod.rs
+++ b/crates/burdock-node/src/forward/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod backends;
 pub mod body;
+pub mod hedge;
 pub mod link_use;
 pub mod outbound;
 pub mod pool;
--- a/crates/burdock-node/src/forward/run.rs
+++ b/crates/burdock-node/src/forward/run.rs
@@ -1,4 +1,4 @@
-//! Running a request: admission, selection of region and backend server, retries and hedging.
+//! Running a request: admission, selection of region and backend server, and retries.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use crate::forward::attempt::{AttemptFailure, AttemptResponse, attempt};
 use crate::forward::backends::BackendState;
 use crate::forward::body::RequestBody;
+use crate::forward::hedge::run_first_attempt;
 use crate::forward::outbound::Outbound;
 use crate::node::Node;
 use crate::observe::counters::Counter;
@@ -96,13 +97,17 @@
             return Err(may_have_run.unwrap_or_else(|| no_backend_error(service)));
         };
         tried.push(Arc::clone(&backend));
-        let result =
-            attempt_with_hedge(node, outbound, service, &mut tried, &backend, current_body, runs_alone).await;
+        let result = if tried.len() == 1 {
+            run_first_attempt(node, outbound, service, &mut tried, current_body, runs_alone).await
+        } else {
+            attempt(node, outbound, &backend, current_body, runs_alone).await.inspect_err(|failed| {
+                record_failure(node, outbound, service, &backend, failed);
+            })
+        };
         let failed = match result {
             Ok(response) => return Ok(response),
             Err(failed) => failed,
         };
-        record_failure(node, outbound, &backend, &failed);
         if !failed.progress.proves_not_run() {
             may_have_run.get_or_insert_with(|| failed.error.clone());
         }
@@ -129,59 +134,8 @@
     }
 }
 
-// Sends a second copy of the request when there is no response within the hedge delay. The first response
-// wins; the other attempt is dropped, which closes its connection and so cancels it.
-async fn attempt_with_hedge(
-    node: &Arc<Node>,
-    outbound: &Outbound,
-    service: &ServiceState,
-    tried: &mut Vec<Arc<BackendState>>,
-    backend: &Arc<BackendState>,
-    body: RequestBody,
-    runs_alone: bool,
-) -> std::result::Result<AttemptResponse, AttemptFailure> {
-    let hedge_delay = outbound.policy.hedge_after.duration();
-    let copy = body.try_clone().filter(|_| outbound.repeatable && !hedge_delay.is_zero() && !runs_alone);
-    let Some(copy) = copy else {
-        return attempt(node, outbound, backend, body, runs_alone).await;
-    };
-    let first = attempt(node, outbound, backend, body, runs_alone);
-    tokio::pin!(first);
-    if let Ok(result) = tokio::time::timeout(hedge_delay, &mut first).await {
-        return result;
-    }
-    let second = select_in_service(node, outbound, service, tried, runs_alone)
-        .filter(|_| withdraw_retry(node, outbound));
-    let Some(second) = second else {
-        return first.await;
-    };
-    node.counters.add(Counter::Hedges);
-    tried.push(Arc::clone(&second));
-    let other = attempt(node, outbound, &second, copy, runs_alone);
-    tokio::pin!(other);
-    tokio::select! {
-        result = &mut first => first_success(result, other).await,
-        result = &mut other => first_success(result, first).await,
-    }
-}
-
-// Returns the response of either copy. If both fail, returns the failure that says more: that of the one that
-// may have run.
-async fn first_success(
-    result: std::result::Result<AttemptResponse, AttemptFailure>,
-    other: impl Future<Output = std::result::Result<AttemptResponse, AttemptFailure>>,
-) -> std::result::Result<AttemptResponse, AttemptFailure> {
-    let Err(failed) = result else {
-        return result;
-    };
-    match other.await {
-        Err(second) if failed.progress.proves_not_run() => Err(second),
-        Err(_) => Err(failed),
-        response => response,
-    }
-}
-
-fn select_in_service(
+/// Selects the backend server for the next attempt among those that have not been tried.
+pub fn select_in_service(
     node: &Node,
     outbound: &Outbound,
     service: &ServiceState,
@@ -222,8 +176,18 @@
         .hint("`burdockctl status` shows which are drained or unavailable")
 }
 
-fn record_failure(node: &Node, outbound: &Outbound, backend: &BackendState, failed: &AttemptFailure) {
+/// Records what a failed attempt says of its backend server, service and request.
+pub fn record_failure(
+    node: &Node,
+    outbound: &Outbound,
+    service: &ServiceState,
+    backend: &BackendState,
+    failed: &AttemptFailure,
+) {
     let now = node.clock.now();
+    if failed.progress == SendProgress::Shed {
+        node.hedging.record_refusal(&service.name, now);
+    }
     // A shed request is a sign of load, not of bad health. A passed deadline only means that the
     // caller's time is used up.
     let is_unhealthy = match failed.progress {
--- a/crates/burdock-node/src/hedging.rs
+++ b/crates/burdock-node/src/hedging.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashMap;
 
-use burdock_decide::hedge::{HedgeCredit, RecentRefusals, RecentTimes};
+use burdock_decide::hedge::{HedgeCredit, HedgeRefusal, RecentRefusals, RecentTimes};
 use burdock_decide::time::Time;
 use burdock_model::hash::stable_hash;
 use burdock_model::hedging::HedgeLimit;
 use burdock_model::ids::ServiceName;
 
+use crate::observe::counters::{Counter, Counters};
 use crate::shards::Sharded;
 
 /// State of hedged requests at one instance. All of it is in memory; after a restart there is no credit.
@@ -107,6 +108,18 @@
     }
 }
 
+/// Counts a slow request that got no second copy, if the reason is one that operators can act on.
+pub fn count_refusal(counters: &Counters, refusal: HedgeRefusal) {
+    let counter = match refusal {
+        HedgeRefusal::Limit => Counter::HedgesOverLimit,
+        HedgeRefusal::RetryBudget => Counter::HedgesOverRetryBudget,
+        HedgeRefusal::Pressure => Counter::HedgesUnderPressure,
+        HedgeRefusal::NoBackend => Counter::HedgesWithoutBackend,
+        _ => return,
+    };
+    counters.add(counter);
+}
+
 fn service_hash(service: &ServiceName) -> u64 {
     stable_hash(service.as_str().as_bytes(), 0)
 }
--- a/crates/burdock-node/src/node.rs
+++ b/crates/burdock-node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::fleet::install::ConfigState;
 use crate::forward::link_use::LinkUse;
 use crate::forward::quarantine::Quarantine;
+use crate::hedging::HedgeState;
 use crate::limits::Limits;
 use crate::observe::counters::Counters;
 use crate::once::OnceTable;
@@ -47,6 +48,8 @@
     pub once: OnceTable,
     /// Quarantine of requests that crashed backend servers.
     pub quarantine: Quarantine,
+    /// Credit and recent times for second copies of requests.
+    pub hedging: HedgeState,
     /// Bytes exchanged with other regions.
     pub link_use: LinkUse,
     /// Client of the platform's store.
@@ -96,6 +99,7 @@
             limits: Limits::default(),
             once: OnceTable::default(),
             quarantine: Quarantine::default(),
+            hedging: HedgeState::default(),
             link_use: LinkUse::default(),
             store: parts.store,
             store_calls: parts.store_calls,
--- a/crates/burdock-node/src/site/hedge.rs
+++ b/crates/burdock-node/src/site/hedge.rs
@@ -16,7 +16,7 @@
 use burdock_model::site::SiteConfigIndex;
 
 use crate::forward::body::RequestBody;
-use crate::hedging::TimesKey;
+use crate::hedging::{TimesKey, count_refusal};
 use crate::observe::counters::Counter;
 use crate::site::attempt::{Attempt, AttemptFailure};
 use crate::site::backend::Backend;
@@ -261,16 +261,7 @@
         refusal: Option<HedgeRefusal>,
     ) -> Result<BackendAnswer, Vec<AttemptFailure>> {
         if let Some(refusal) = refusal {
-            let counter = match refusal {
-                HedgeRefusal::Limit => Some(Counter::HedgesOverLimit),
-                HedgeRefusal::RetryBudget => Some(Counter::HedgesOverRetryBudget),
-                HedgeRefusal::Pressure => Some(Counter::HedgesUnderPressure),
-                HedgeRefusal::NoBackend => Some(Counter::HedgesWithoutBackend),
-                _ => None,
-            };
-            if let Some(counter) = counter {
-                self.attempt.node.counters.add(counter);
-            }
+            count_refusal(&self.attempt.node.counters, refusal);
             log::info!(
                 id = self.id(), first = self.attempt.backend.registered.id.as_str(),
                 reason = refusal.as_str(), after_ms = self.elapsed_ms().round();
