--- a/crates/burdock-node/tests/site_hedge.rs
+++ b/crates/burdock-node/tests/site_hedge.rs
@@ -203,13 +203,9 @@
 async fn commands_uploads_and_suspects_are_never_sent_twice() {
     let (site, _first) = start_site(2, 0.2).await;
     for _ in 0..LEARNED_REQUESTS {
-        site.post(0, "/valves/1", &[KEY, OBJECT], "open").await.unwrap();
+        site.post(0, "/valves/1?delay_ms=20", &[KEY, OBJECT], "open").await.unwrap();
     }
     let with_id = |id| [KEY, OBJECT, (ID, id)];
-    site.post(0, "/valves/1?delay_ms=800", &with_id("command"), "open").await.unwrap();
-    // Above the size up to which bodies are held.
-    let long = "x".repeat(300 << 10);
-    site.post(0, "/quotes/1?delay_ms=800", &with_id("upload"), &long).await.unwrap();
     let node = &site.instances[0].node;
     let identity = RequestIdentity {
         organisation: "farm",
@@ -220,9 +216,18 @@
     };
     let crashed = BackendId::new("quotes-9").unwrap();
     node.quarantine.record_crash(fingerprint(&identity), &crashed, node.clock.now());
-    get(&site, "suspect", "/quotes/7?delay_ms=800").await;
-    for id in ["command", "upload", "suspect"] {
-        expect_that!(site.run_count(id), eq(1), "{id}");
+    // Above the size up to which bodies are held.
+    let long = "x".repeat(300 << 10);
+    let (upload_headers, command_headers) = (with_id("upload"), with_id("command"));
+    // At once, since a slow backend server changes what is expected of later requests.
+    tokio::join!(
+        get(&site, "repeatable", "/quotes/1?delay_ms=800"),
+        get(&site, "suspect", identity.path),
+        site.post(0, "/quotes/1?delay_ms=800", &upload_headers, &long),
+        site.post(0, "/valves/1?delay_ms=800", &command_headers, "open"),
+    );
+    for (id, runs) in [("repeatable", 2), ("suspect", 1), ("upload", 1), ("command", 1)] {
+        expect_that!(site.run_count(id), eq(runs), "{id}");
     }
 }
 
@@ -230,15 +235,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_became_a_command_while_it_ran_is_not_sent_twice() {
     // The usual time leaves time for the change of the configuration.
-    let (site, _first) = start_site(2, 0.2).await;
-    let before = get(&site, "before", "/quotes/1?delay_ms=1000").await;
-    stall(&site, &backend_of(&before));
+    let (site, first) = start_site(2, 0.2).await;
+    stall(&site, &first);
     let change = async {
         site.wait_until(async || site.run_count("changed") == 1).await;
         publish(&site, quotes_route("non_idempotent", &[]), 3).await;
     };
     tokio::join!(get(&site, "changed", "/quotes/1"), change);
-    expect_that!((site.run_count("before"), site.run_count("changed")), eq((2, 1)));
+    expect_that!(site.run_count("changed"), eq(1));
 }
 
 #[gtest]
@@ -256,7 +260,17 @@
             }
             "drain" => site.entry(other_ix).state("draining").publish(&site.store),
             "evacuation" => set_evacuation(&site.store, zone, true),
-            _ => site.entry(other_ix).started_ms(2).cold_s(30.0).publish(&site.store),
+            _ => {
+                site.entry(other_ix).started_ms(2).cold_s(30.0).publish(&site.store);
+                let node = &site.instances[0].node;
+                let find = || {
+                    let usable = node.backends.usable();
+                    usable.services.values().flatten().find(|b| b.is_cold(node.clock.now())).cloned()
+                };
+                site.wait_until(async || find().is_some()).await;
+                // From now on tokens arrive, so that only its being cold is against it.
+                let _taken = find().unwrap().take_cold_token(6.0, node.clock.now());
+            }
         }
         tokio::time::sleep(Duration::from_millis(900)).await;
         let before = count(&site, Counter::HedgesWithoutBackend);
