--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -53,6 +53,7 @@
         ("body_memory_bytes", node.body_memory.capacity_bytes() as f64),
         ("body_memory_free_bytes", node.body_memory.free_bytes() as f64),
         ("requests_in_flight", node.in_flight() as f64),
+        ("hedge_limit", node.hedge_limits.load().limit.unwrap_or(node.settings.hedge_limit).share()),
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
         ("store_age_s", store_age),
--- a/crates/burdock-node/src/site/suspect.rs
+++ b/crates/burdock-node/src/site/suspect.rs
@@ -51,11 +51,13 @@
     /// Returns whether the request is in quarantine.
     #[must_use]
     pub fn is_refused(&self, node: &SiteNode) -> bool {
-        let now = node.clock.now();
-        let is_refused = |fingerprint| {
-            node.quarantine.decision(fingerprint, SHARED_STRIKES_TO_REFUSE, now) == QuarantineDecision::Refuse
-        };
-        self.fingerprints().checked().any(is_refused)
+        self.decisions(node).any(|decision| decision == QuarantineDecision::Refuse)
+    }
+
+    /// Returns whether a crash of a backend server is held against the request.
+    #[must_use]
+    pub fn has_strikes(&self, node: &SiteNode) -> bool {
+        self.decisions(node).any(|decision| decision != QuarantineDecision::Run)
     }
 
     /// Returns a check that a streamed body passes unless the whole of it shows that it is in quarantine.
@@ -71,6 +73,16 @@
         self.fingerprints().cleared().for_each(|fingerprint| node.quarantine.clear(fingerprint, now));
     }
 
+    fn decisions(&self, node: &SiteNode) -> impl Iterator<Item = QuarantineDecision> {
+        let now = node.clock.now();
+        let fingerprints = self.fingerprints();
+        fingerprints
+            .checked()
+            .map(move |fingerprint| node.quarantine.decision(fingerprint, SHARED_STRIKES_TO_REFUSE, now))
+            .collect::<Vec<_>>()
+            .into_iter()
+    }
+
     fn fingerprints(&self) -> BodyFingerprints {
         BodyFingerprints::new(self.head_hash, self.body.get(), self.start_hash)
     }
