Send the request of the hedging test to the stalled backend server

Ruled out: the limit, the retry budget and pressure (their counters were 0).

Change: the test stalls the backend server that ran the request before, which gets the next one. All checks stay.

--- a/crates/burdock-node/tests/hedge.rs
+++ b/crates/burdock-node/tests/hedge.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use burdock_decide::pick::RAMP_UP_TIME;
-use burdock_node::demo::{Demo, DemoSettings};
+use burdock_node::demo::{Demo, DemoBackend, DemoSettings};
 use burdock_node::observe::counters::Counter;
 use burdock_standin::backend::Fault;
 use bytes::Bytes;
@@ -49,6 +49,18 @@
     demo.backends.iter().flat_map(|b| b.standin.log()).filter(|r| r.path == path).count()
 }
 
+// Sends a request and returns the backend server that ran it. As the one with the least expected time, it also gets
+// the next one.
+async fn next_backend<'a>(demo: &'a Demo, path: &str) -> &'a DemoBackend {
+    expect_that!(send(demo, "GET", path).await, eq(200));
+    let ran = |b: &&DemoBackend| b.standin.log().iter().any(|r| r.path == path);
+    demo.backends.iter().find(ran).expect("a backend server that ran it")
+}
+
+fn inject_stall(backend: &DemoBackend, stall: bool) {
+    backend.standin.inject(Fault { stall: Some(stall), ..Fault::default() });
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_requests_get_a_second_copy_within_the_limit_of_the_tree() {
@@ -62,11 +74,8 @@
     for nth in 0..USUAL_REQUESTS {
         expect_that!(send(&demo, "GET", &format!("/quotes/usual-{nth}?delay_ms=30")).await, eq(200));
     }
-    let region = demo.nodes[0].node.settings.region.as_str();
-    let is_local =
-        |b: &&burdock_node::demo::DemoBackend| b.sample.service == "quotes" && b.sample.region == region;
-    let stalled = demo.backends.iter().find(is_local).expect("a local backend server");
-    stalled.standin.inject(Fault { stall: Some(true), ..Fault::default() });
+    let stalled = next_backend(&demo, "/quotes/next-1").await;
+    inject_stall(stalled, true);
     let before = count(Counter::HedgesWon);
     for nth in 0..6 {
         expect_that!(send(&demo, "GET", &format!("/quotes/slow-{nth}")).await, eq(200));
@@ -80,6 +89,8 @@
         expect_that!(run_count(&demo, &path), eq(1), "{path}");
     }
     expect_that!(patch_settings(&demo, json!({"hedge_limit": 0})).await, eq(200));
+    inject_stall(stalled, false);
+    inject_stall(next_backend(&demo, "/quotes/next-2").await, true);
     let before = count(Counter::Hedges);
     let slow = (0..4).map(|_| send(&demo, "GET", "/quotes/off"));
     let statuses = futures::future::join_all(slow).await;
