Show the pressure on services, and refuse at once what has too little time

Operators could not see how much is asked of a service's slots beyond full queues, since refusals stayed with the instance that made them. A request whose time left is under half of the warm service time was queued and ran for nothing.

Instances report their refusals for lack of room, hubs sum them, and metrics and /v1/status state the pressure by service. The log line of a refusal gives its reason and figures. A first attempt that no backend server can answer in the time left is refused as not run without Retry-After (no_time); other refusals are counted as no_room.

The effect on the deployments has not been measured in this form.

--- a/crates/burdock-ctl/src/print.rs
+++ b/crates/burdock-ctl/src/print.rs
@@ -24,6 +24,9 @@
 /// Columns of the tables of backend servers in the output of `status`.
 const BACKEND_COLUMNS: [&str; 5] = ["id", "open", "in_flight_from_here", "reported_in_flight", "connections"];
 
+/// Figures of the pressure on a service, which instances on the platform state.
+const PRESSURE_FIGURES: [&str; 5] = ["pressure", "load", "slots", "mean_ms", "refusals_per_s"];
+
 /// Prints a value as JSON, or as one row for each leaf.
 pub fn value(value: &Value, output: OutputFormat) {
     match output {
@@ -44,6 +47,9 @@
     println!("\n{}", table(&FLEET_COLUMNS, status["fleet"].as_array().unwrap_or(&Vec::new())));
     for service in status["services"].as_array().into_iter().flatten() {
         println!("service {}", format_cell(&service["name"]));
+        for figure in PRESSURE_FIGURES.iter().filter(|figure| !service[**figure].is_null()) {
+            println!("  {figure:<18} {}", format_cell(&service[*figure]));
+        }
         for region in service["regions"].as_array().into_iter().flatten() {
             println!(
                 "  {} {} per million",
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -40,6 +40,10 @@
     KeyRefused => "requests.refused.key",
     /// Requests refused because the admission queue is full.
     Overloaded => "requests.refused.overloaded",
+    /// Requests refused because no queue of a backend server had room for them.
+    NoRoom => "requests.refused.no_room",
+    /// Requests refused because they can't be answered in the time left.
+    NoTime => "requests.refused.no_time",
     /// Streams ended because their API key was withdrawn.
     StreamsEnded => "streams.ended_by_withdrawal",
     /// Responses that ended before their body was complete.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -341,9 +341,11 @@
         }
         let took_ms = now.since(sent_at).as_secs_f64() * 1e3;
         self.backend.record_answer(took_ms / self.placement.expected_ms.max(1.0), true, now);
+        let round_trips_ms = self.node.backends.round_trips_ms(std::slice::from_ref(self.backend));
+        let service_ms = took_ms - round_trips_ms[self.backend.region];
+        let (load, slots) = (self.placement.load, self.backend.slots());
+        self.node.admission.record_answer(&self.service.name, service_ms.max(1.0), load, slots);
         if !self.placement.is_queued {
-            let round_trips_ms = self.node.backends.round_trips_ms(std::slice::from_ref(self.backend));
-            let service_ms = took_ms - round_trips_ms[self.backend.region];
             self.node.record_service_time(self.outbound.route, service_ms.max(1.0));
         }
     }
--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -167,7 +167,15 @@
             if places_requests { to_amounts(&state.in_flight(Some(&sender), now)) } else { Vec::new() };
         let slowness = if places_requests { state.slowness(Some(&sender), now) } else { Vec::new() };
         let paces = if places_requests { state.paces(Some(&sender), now) } else { Vec::new() };
-        TrafficReport { in_flight: remote_in_flight, slowness, paces, ..TrafficReport::new(own.clone()) }
+        let refusals =
+            if places_requests { to_amounts(&state.refusals(Some(&sender), now)) } else { Vec::new() };
+        TrafficReport {
+            in_flight: remote_in_flight,
+            slowness,
+            paces,
+            refusals,
+            ..TrafficReport::new(own.clone())
+        }
     }
 
     /// Records another hub's answer to this hub's summary.
@@ -268,6 +276,18 @@
         sum
     }
 
+    // Returns the requests per second that instances of this region refuse for lack of room, by service; for an
+    // answer to one of them also those of other regions, and not its own.
+    fn refusals(&self, excluded: Option<&InstanceId>, now: Time) -> HashMap<u64, f32> {
+        let mut sum = HashMap::new();
+        let reporters = self.reporters.iter().filter(|(id, _)| Some(*id) != excluded).map(|(_, r)| r);
+        let of_hubs = self.hubs.values().filter(|_| excluded.is_some());
+        for received in reporters.chain(of_hubs).filter(|r| now.since(r.received_at) < REPORT_TTL) {
+            add_amounts(&mut sum, &received.report.refusals);
+        }
+        sum
+    }
+
     fn summary(&self, own: &InstanceId, now: Time) -> TrafficReport {
         let (mut demands, mut in_flight) = (HashMap::new(), HashMap::new());
         for received in self.reporters.values().filter(|r| now.since(r.received_at) < REPORT_TTL) {
@@ -283,6 +303,7 @@
             slowness: self.slowness(None, now),
             service_demands: to_amounts(&self.service_demands(now).1),
             paces: self.paces(None, now),
+            refusals: to_amounts(&self.refusals(None, now)),
             ..TrafficReport::new(own.clone())
         }
     }
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -11,7 +11,7 @@
 use crate::observe::counters::Counter;
 use crate::observe::line_writer;
 use crate::site::body::ResponseBody;
-use crate::site::{SiteNode, plan, status};
+use crate::site::{SiteNode, admission, plan, status};
 
 /// Path of the instance's status, as on the administration API of the project's own interface.
 const STATUS_PATH: &str = "/v1/status";
@@ -64,6 +64,11 @@
     for (name, value) in gauges {
         let _done = writeln!(text, "burdock_{name} {value}");
     }
+    for (name, pressure) in admission::pressures(node, now) {
+        for (gauge, value) in pressure.figures() {
+            let _done = writeln!(text, "burdock_service_{gauge}{{service=\"{name}\"}} {value:.3}");
+        }
+    }
     text + &plan::metrics(node)
         + &node.latency.answered.text("answered")
         + &node.latency.refused.text("refused")
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -1,6 +1,7 @@
 //! An instance of a deployment on the platform: serves callers in the platform's dialect, and reads
 //! configuration and backend servers from the platform's store.
 
+pub mod admission;
 pub mod allowances;
 pub mod attempt;
 pub mod backend;
@@ -36,6 +37,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use burdock_decide::deadline::MeasuredService;
 use burdock_decide::pipeline::RouteAnswers;
 use burdock_decide::retry::RetryBudget;
 use burdock_decide::split::WeightedRoundRobin;
@@ -57,6 +59,7 @@
 use crate::observe::latency::LatencyHistogram;
 use crate::phase::{Phase, PhaseCell};
 use crate::shards::Sharded;
+use crate::site::admission::Admission;
 use crate::site::allowances::Allowances;
 use crate::site::fleet::SiteFleet;
 use crate::site::hub::Hub;
@@ -101,6 +104,8 @@
     pub plans: RegionPlans,
     /// Tokens for forwarding requests of organisations.
     pub allowances: Allowances,
+    /// Refusals and service times by service.
+    pub admission: Admission,
     /// Quarantine of requests that crashed backend servers.
     pub quarantine: Quarantine,
     /// Memory for the request and response bodies that the process holds.
@@ -147,6 +152,8 @@
 #[derive(Clone, Copy, Debug)]
 struct WarmServiceTime {
     estimate_ms: f64,
+    answers: u32,
+    measured_at: Time,
 }
 
 /// Divisor of the step towards a service time that is longer than the estimate. It is larger than the one for
@@ -187,6 +194,7 @@
             hub: Hub::default(),
             plans: RegionPlans::default(),
             allowances: Allowances::default(),
+            admission: Admission::default(),
             quarantine: Quarantine::default(),
             body_memory: BodyMemory::new(settings.memory_bytes),
             hedging: HedgeState::default(),
@@ -281,11 +289,27 @@
         shard.get(&route.name).map_or(initial_ms, |t| t.estimate_ms)
     }
 
+    /// Returns the service time of a route's requests with a warm cache and what it follows from, `None` before
+    /// the first measurement.
+    #[must_use]
+    pub fn measured_service(&self, route: &Route, now: Time) -> Option<MeasuredService> {
+        let shard = self.service_times.lock(name_hash(route.name.as_str()));
+        let time = shard.get(&route.name)?;
+        let age = now.since(time.measured_at);
+        Some(MeasuredService { warm_ms: time.estimate_ms, answers: time.answers, age })
+    }
+
     /// Updates the estimate of a route's service time with a measured one.
     pub fn record_service_time(&self, route: &Route, measured_ms: f64) {
         let initial_ms = route.latency_target.as_secs_f64() * 1e3 * INITIAL_SERVICE_TIME_FRACTION;
         let mut shard = self.service_times.lock(name_hash(route.name.as_str()));
-        let time = shard.entry(route.name.clone()).or_insert(WarmServiceTime { estimate_ms: initial_ms });
+        let time = shard.entry(route.name.clone()).or_insert(WarmServiceTime {
+            estimate_ms: initial_ms,
+            answers: 0,
+            measured_at: Time(0),
+        });
+        time.answers = time.answers.saturating_add(1);
+        time.measured_at = self.clock.now();
         let divisor = if measured_ms > time.estimate_ms {
             LONGER_SERVICE_TIME_DIVISOR
         } else {
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -99,6 +99,7 @@
         slowness: node.backends.slowness(now),
         service_demands: node.plans.demands(now),
         paces: node.backends.paces(now),
+        refusals: node.admission.refusals(now),
         ..TrafficReport::new(node.incarnation.instance.clone())
     };
     let from = report.store.revision;
@@ -106,6 +107,7 @@
         let answer = node.hub.record_report(&node.incarnation.instance, report, now);
         node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
         node.backends.record_told_paces(&answer.paces, now);
+        node.admission.set_remote_refusals(&answer.refusals, now);
         exchange_with_hubs(node).await;
         let is_first = node.fleet.view().first_region() == Some(&node.settings.region);
         if is_first && FleetSize::of(node).is_settled && node.mirror.is_fresh(now) {
@@ -118,6 +120,7 @@
             node.hub.record_contact(&hub.id, node.clock.now());
             node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
             node.backends.record_told_paces(&answer.paces, node.clock.now());
+            node.admission.set_remote_refusals(&answer.refusals, node.clock.now());
             node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
             node.backends.merge_leaving(&answer.leaving, node.clock.now());
             plan::record_answer(node, &answer, node.clock.now());
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use burdock_decide::cold;
+use burdock_decide::deadline::can_be_answered;
 use burdock_decide::place::{Placement, PlacementView, local_weight, max_load_per_slot, place_request};
 use burdock_decide::quarantine::QUARANTINE_TIME;
 use burdock_decide::retry::{RetryView, SendProgress, may_retry};
@@ -16,6 +17,7 @@
 use crate::forward::body::RequestBody;
 use crate::observe::counters::Counter;
 use crate::site::SiteNode;
+use crate::site::admission::{Admission, Refusal, is_eligible};
 use crate::site::attempt::{Attempt, AttemptFailure};
 use crate::site::backend::Backend;
 use crate::site::body::ResponseBody;
@@ -92,9 +94,10 @@
             return outcome;
         };
         let Some((backend, placement)) = select_backend(node, outbound, service, &outcome.tried, now) else {
-            node.hedging.record_refusal(&service.name, now);
             if outcome.tried.is_empty() {
                 outcome.result = Err(no_capacity_failure(node, &service.name, outbound));
+            } else {
+                node.hedging.record_refusal(&service.name, now);
             }
             return outcome;
         };
@@ -199,14 +202,35 @@
 }
 
 fn no_capacity_failure(node: &SiteNode, service: &ServiceName, outbound: &Outbound<'_>) -> RequestFailure {
+    let now = node.clock.now();
     let usable = node.backends.usable();
-    let count = usable.services.get(service).map_or(0, Vec::len);
-    let kind = if count == 0 { ErrorKind::NoBackend } else { ErrorKind::Overloaded };
-    let detail =
-        format!("{count} backend servers of `{service}`, none with room at urgency {}", outbound.urgency);
     let backends = usable.services.get(service).map_or(&[] as &[_], Vec::as_slice);
-    let turned_away = time_until_accepted(backends, node.clock.now()).unwrap_or_default();
-    RequestFailure { error: Error::new(kind, detail), retry_after: Some(turned_away + random_retry_after()) }
+    let count = backends.len();
+    if count == 0 {
+        node.hedging.record_refusal(service, now);
+        let error = Error::new(ErrorKind::NoBackend, format!("no backend server of `{service}`"));
+        return RequestFailure { error, retry_after: Some(random_retry_after()) };
+    }
+    let refusal = Admission::refuse(node, outbound, service, now);
+    let pressure = Admission::pressure(node, service, now);
+    let detail = format!(
+        "{count} backend servers of `{service}`, {} at urgency {}: pressure {:.2}, mean {:.0} ms, \
+         {:.1} refused a second, {} ms left, waited {} ms before",
+        refusal.as_str(),
+        outbound.urgency,
+        pressure.pressure(),
+        pressure.mean_ms,
+        pressure.refusals_per_s(),
+        outbound.time_left(now).as_millis(),
+        outbound.earlier_wait.as_millis(),
+    );
+    let error = Error::new(ErrorKind::Overloaded, detail);
+    if refusal == Refusal::NoTime {
+        return RequestFailure { error, retry_after: None };
+    }
+    node.hedging.record_refusal(service, now);
+    let turned_away = time_until_accepted(backends, now).unwrap_or_default();
+    RequestFailure { error, retry_after: Some(turned_away + random_retry_after()) }
 }
 
 // Returns the time until the first backend server accepts requests again if all have turned this instance
@@ -231,15 +255,18 @@
     let usable = node.backends.usable();
     let backends = usable.services.get(&service.name)?;
     let round_trips_ms = node.backends.round_trips_ms(backends);
-    let is_allowed = |b: &Backend| {
-        let region = node.backends.region(b.region);
-        outbound.eligible_regions.is_empty() || region.is_some_and(|r| outbound.eligible_regions.contains(&r))
-    };
+    let (measured, time_left) = (node.measured_service(outbound.route, now), outbound.time_left(now));
+    // A retry is made in any time that is left, since its caller loses what was spent on the earlier attempt.
+    let has_time =
+        |b: &Backend| !tried.is_empty() || can_be_answered(time_left, round_trips_ms[b.region], measured);
     let mut candidates: Vec<_> = backends
         .iter()
         .map(|b| {
             let is_untried = !tried.iter().any(|t| Arc::ptr_eq(t, b));
-            let is_available = is_untried && is_allowed(b) && (!b.is_cold(now) || may_send_to_cold(node, b));
+            let is_available = is_untried
+                && is_eligible(node, outbound, b)
+                && has_time(b)
+                && (!b.is_cold(now) || may_send_to_cold(node, b));
             b.candidate(node.backends.is_local(b), round_trips_ms[b.region], is_available, now)
         })
         .collect();
--- a/crates/burdock-node/src/site/status.rs
+++ b/crates/burdock-node/src/site/status.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use crate::phase::Phase;
-use crate::site::{SiteNode, plan};
+use crate::site::{SiteNode, admission, plan};
 
 /// Returns the status of the instance, with the reason if no configuration is in force or the newest one was
 /// rejected. Its fields are those of the project's own interface where both have them.
@@ -26,6 +26,11 @@
         })),
         "store_age_s": node.mirror.confirmed_at().map(|at| now.since(at).as_secs_f64()),
         "in_flight": node.in_flight(),
+        "services": admission::pressures(node, now).iter().map(|(name, pressure)| {
+            let figures = pressure.figures().map(|(figure, value)| (figure.to_owned(), json!(value)));
+            let name = ("name".to_owned(), json!(name));
+            Value::Object(figures.into_iter().chain([name]).collect())
+        }).collect::<Vec<_>>(),
         "region_plans": plan::status(node),
         "fleet": view.listed.iter().map(|i| json!({
             "instance": i.id,
--- a/crates/burdock-node/tests/hub.rs
+++ b/crates/burdock-node/tests/hub.rs
@@ -84,6 +84,24 @@
     );
 }
 
+// Without the sum, each instance would state the pressure that its own refusals make.
+#[gtest]
+fn refusals_of_other_instances_and_regions_are_summed() {
+    let (hub, own, now) = (Hub::default(), InstanceId::new("hub").unwrap(), Time::from_millis(1000));
+    let refusals = |amount| vec![HashedAmount { hash: 7, amount }];
+    let refusing = |sender, amount, is_from_hub| {
+        let busy = report(sender, &[HashedAmount { hash: 8, amount: 1.0 }]);
+        TrafficReport { refusals: refusals(amount), is_from_hub, ..busy }
+    };
+    let _first = hub.record_report(&own, refusing("first", 3.0, false), now);
+    let to_other_hub = hub.record_report(&own, refusing("other-hub", 10.0, true), now);
+    expect_that!(to_other_hub.refusals, eq(&refusals(3.0)));
+    expect_that!(hub.record_report(&own, refusing("second", 4.0, false), now).refusals, eq(&refusals(13.0)));
+    // Reports that are older than 1.1 s don't count.
+    let later = now + std::time::Duration::from_millis(1200);
+    expect_that!(hub.record_report(&own, refusing("second", 4.0, false), later).refusals, is_empty());
+}
+
 // Guards against instances that leave a hub which is only busy, as all are after a restart of the whole fleet:
 // each of them then granted from its own small share.
 #[gtest]
