Check a platform's configuration before it is sent

Cause: operators learned of a fault in a configuration only after it was sent, from the log line of an instance, and only of the first fault. Parts that are accepted but have no effect were never reported.

Decoding collects the errors of all parts, and `decode_config`, which instances use, is its first error, so that the two can't disagree. Error texts have the form `place: reason` throughout, and a field of the wrong form is named by its list and index instead of line and column. Arguments that can't be parsed exit with 2 instead of 1, since 1 would read as warnings to a script that calls `check`.

The settings tree and whatever needs the backend servers (regions without any, attempts, sums of rates) aren't checked.

--- a/crates/burdock-ctl/src/cli.rs
+++ b/crates/burdock-ctl/src/cli.rs
@@ -8,7 +8,7 @@
 
 use crate::client::Client;
 use crate::load::{LoadSettings, load_settings};
-use crate::{commands, load, trace};
+use crate::{check, commands, load, trace};
 
 /// Format of printed results and errors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,10 +31,13 @@
     }
 }
 
+/// Maximum width of lines of the help text.
+const MAX_HELP_WIDTH: usize = 100;
+
 /// Operate burdockcroft through the administration API of any instance.
 ///
 /// Exit codes: 0 done, 1 internal, 2 invalid, 3 refused, 4 not found, 5 conflict, 6 not now, 7 outcome
-/// unknown, 8 store down.
+/// unknown, 8 store down. `check` exits with 0 for clean, 1 for warnings, 2 for errors.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, footer("Example: burdockctl set organisations/farm-dobele/settings/rate '\"5/s\"'"))]
 pub struct Options {
@@ -179,6 +182,18 @@
         #[bpaf(positional("FILE"))]
         files: Vec<PathBuf>,
     },
+    /// Check a configuration before it is sent. Example: burdockctl check --platform-config new.json --in-force old.json
+    ///
+    /// Exit codes: 0 clean, 1 warnings, 2 errors.
+    #[bpaf(command)]
+    Check {
+        /// File with the platform's configuration
+        #[bpaf(long, argument("FILE"))]
+        platform_config: PathBuf,
+        /// File with the version in force, to compare with
+        #[bpaf(long, argument("FILE"), optional)]
+        in_force: Option<PathBuf>,
+    },
     /// Send requests at a steady rate and report latency. Example: burdockctl load --entry 127.0.0.1:8080 --key bk.a.b --rate 500 /quotes/1
     #[bpaf(command)]
     Load {
@@ -236,10 +251,16 @@
 
 /// Parses the arguments, runs the command and returns its exit code.
 pub fn main() -> ExitCode {
-    let options = options().run();
+    let options = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(MAX_HELP_WIDTH);
+            return ExitCode::from(usage_exit_code(&failure));
+        }
+    };
     let output = options.output;
     match execute(options) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(e) => {
             match output {
                 OutputFormat::Table => eprintln!("burdockctl: {e}"),
@@ -250,9 +271,22 @@
     }
 }
 
-fn execute(options: Options) -> Result<()> {
-    if let Command::Trace { id, files } = &options.command {
-        return trace::run(id, files, options.output);
+/// Returns the exit code of arguments that can't be parsed: that of invalid input, since `check` exits with 1
+/// for warnings. A request for help succeeds.
+fn usage_exit_code(failure: &bpaf::ParseFailure) -> u8 {
+    let is_error = matches!(failure, bpaf::ParseFailure::Stderr(_));
+    if is_error { ErrorKind::InvalidTree.answer().exit_code } else { 0 }
+}
+
+fn execute(options: Options) -> Result<ExitCode> {
+    match &options.command {
+        Command::Trace { id, files } => {
+            return trace::run(id, files, options.output).map(|()| ExitCode::SUCCESS);
+        }
+        Command::Check { platform_config, in_force } => {
+            return check::run(platform_config, in_force.as_deref(), options.output);
+        }
+        _ => {}
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(|e| Error::new(ErrorKind::Internal, e.to_string()))?;
@@ -262,7 +296,8 @@
         }
         let client = Client::new(&options.admin, &options.token);
         commands::run(&client, options.command, options.output).await
-    })
+    })?;
+    Ok(ExitCode::SUCCESS)
 }
 
 #[cfg(test)]
--- a/crates/burdock-ctl/src/commands.rs
+++ b/crates/burdock-ctl/src/commands.rs
@@ -64,7 +64,9 @@
                 .call(Call::json(Method::GET, &format!("/.burdock/v1/steer?service={service}"), None))
                 .await?
         }
-        Command::Load { .. } | Command::Trace { .. } => return Err(Error::from(ErrorKind::Internal)),
+        Command::Load { .. } | Command::Trace { .. } | Command::Check { .. } => {
+            return Err(Error::from(ErrorKind::Internal));
+        }
     };
     print::value(&result, output);
     Ok(())
--- a/crates/burdock-ctl/src/main.rs
+++ b/crates/burdock-ctl/src/main.rs
@@ -1,5 +1,6 @@
 //! Command line for operators of burdockcroft.
 
+mod check;
 mod cli;
 mod client;
 mod commands;
--- a/crates/burdock-ctl/tests/unit/cli.rs
+++ b/crates/burdock-ctl/tests/unit/cli.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use serde_json::json;
 
-use super::{Command, options};
+use super::{Command, options, usage_exit_code};
 use crate::print::{leaf_rows, table};
 
 #[gtest]
@@ -19,6 +19,15 @@
     expect_that!(options().run_inner(&["aply"]).is_err(), eq(true));
 }
 
+// Guards against a misspelt option of `check` that scripts would take for warnings, whose exit code is 1.
+#[gtest]
+fn arguments_that_cannot_be_parsed_exit_as_invalid_and_help_as_done() {
+    let code = |args: &[&str]| usage_exit_code(&options().run_inner(args).unwrap_err());
+    expect_that!(code(&["check", "--platform-confg", "new.json"]), eq(2));
+    expect_that!(code(&["check"]), eq(2));
+    expect_that!(code(&["check", "--help"]), eq(0));
+}
+
 #[gtest]
 fn every_leaf_is_printed_as_a_row() {
     let rows = leaf_rows(&json!({"a": {"b": 1, "c": null}, "d": ["x"]}));
--- a/crates/burdock-model/src/lib.rs
+++ b/crates/burdock-model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod resolve;
 pub mod settings;
 pub mod site;
+pub mod site_check;
 pub mod site_settings;
 pub mod snapshot;
 pub mod tree;
--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::Result;
 use crate::hedging::HedgeLimits;
 use crate::ids::{BackendId, OrganisationName, RegionName, RouteName, ServiceName, ZoneName};
+use crate::site_check::Finding;
 
 /// Published version of a deployment's configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -270,43 +271,62 @@
     /// Checks that the parts of the configuration are consistent.
     ///
     /// # Errors
-    /// [`ErrorKind::InvalidTree`] when the version is 0 or a route is invalid, with the name of that route.
+    /// [`ErrorKind::InvalidTree`](crate::error::ErrorKind::InvalidTree) when the version is 0 or a route is invalid, with the name of that route.
     pub fn check(&self) -> Result<()> {
-        let invalid = |detail: String| Err(Error::new(ErrorKind::InvalidTree, detail));
+        self.inconsistencies().into_iter().next().map_or(Ok(()), |finding| Err(finding.into_error()))
+    }
+
+    /// Returns every inconsistency between the parts of the configuration, of which [`Self::check`] reports the
+    /// first.
+    ///
+    /// ```
+    /// use burdock_model::site::SiteConfig;
+    /// assert_eq!(SiteConfig::default().inconsistencies()[0].place, "version");
+    /// ```
+    #[must_use]
+    pub fn inconsistencies(&self) -> Vec<Finding> {
+        let mut found = Vec::new();
         if self.version == 0 {
-            return invalid("the configuration has no version; expected 1 or more".to_owned());
+            found.push(Finding::error("version", "the configuration has none; expected 1 or more"));
         }
         for route in &self.routes {
+            let place = format!("route `{}`", route.name);
+            found.extend(match_error(&place, &route.host, &route.prefix));
             let total_weight: f64 = route.targets.iter().map(|t| t.weight).sum();
-            let prefix = &route.prefix;
-            if route.host.is_empty() || !prefix.starts_with('/') || !prefix.ends_with('/') {
-                return invalid(format!(
-                    "route `{}` needs a host and a prefix that begins and ends with `/`",
-                    route.name
-                ));
-            }
             if !total_weight.is_finite()
                 || total_weight <= 0.0
                 || route.targets.iter().any(|t| t.weight < 0.0)
             {
-                return invalid(format!(
-                    "route `{}` needs targets with weights of 0 or more and a positive finite sum",
-                    route.name
-                ));
+                let reason = "it needs targets with weights of 0 or more and a positive finite sum";
+                found.push(Finding::error(&place, reason));
             }
             if route.targets.iter().any(|t| t.service >= self.services.len()) {
-                return invalid(format!("route `{}` refers to an unknown service", route.name));
+                found.push(Finding::error(&place, "it refers to an unknown service"));
             }
         }
         for organisation in &self.organisations {
             let is_valid = |amount: f64| amount.is_finite() && amount >= 0.0;
             if !is_valid(organisation.rate) || !is_valid(organisation.burst) {
-                return invalid(format!(
-                    "organisation `{}` needs a rate and a burst of 0 or more",
-                    organisation.name
+                found.push(Finding::error(
+                    format!("organisation `{}`", organisation.name),
+                    "it needs a rate and a burst of 0 or more",
                 ));
             }
         }
-        Ok(())
+        found
     }
 }
+
+/// Returns what is wrong with the host and path prefix of the route at a place.
+///
+/// ```
+/// use burdock_model::site::match_error;
+/// assert_eq!(match_error("route `tiles`", "a.example", "/t/"), None);
+/// assert!(match_error("route `tiles`", "a.example", "t").is_some());
+/// ```
+#[must_use]
+pub fn match_error(place: &str, host: &str, prefix: &str) -> Option<Finding> {
+    let is_valid = !host.is_empty() && prefix.starts_with('/') && prefix.ends_with('/');
+    let reason = "it needs a host and a prefix that begins and ends with `/`";
+    (!is_valid).then(|| Finding::error(place, reason))
+}
