--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -108,7 +108,7 @@
             Some(Err(mut e)) => {
                 return Err(match e.take_message() {
                     Some(req) => self.not_written_failure("closed", req.into_body()),
-                    None => self.broken_exchange_failure(&e.into_error()),
+                    None => self.broken_connection_failure(&e.into_error()),
                 });
             }
             None => {
@@ -165,16 +165,9 @@
         Err(self.not_written_failure(&detail, body))
     }
 
-    // The backend server is not at fault if the caller's part of the exchange ended early.
-    fn broken_exchange_failure(&self, e: &hyper::Error) -> AttemptFailure {
-        if is_caller_fault(e) {
-            return self.written_failure(ErrorKind::BodyCut, "the request body ended early or is too long");
-        }
-        self.broken_connection_failure(e)
-    }
-
     // A broken connection may mean that only this answer broke. Whether the backend server died is checked in
-    // the background, while the next attempt goes to another one.
+    // the background, while the next attempt goes to another one. The backend server is not at fault if the
+    // caller's part of the exchange ended early.
     fn broken_connection_failure(&self, e: &hyper::Error) -> AttemptFailure {
         if let Some(cause) = find_body_error(e) {
             let kind = match cause {
@@ -189,6 +182,9 @@
             log::info!(backend = self.name().as_str(), id = self.id(); "the request was cut off: {cause}");
             return self.written_failure(kind, &cause.to_string());
         }
+        if is_caller_fault(e) {
+            return self.written_failure(ErrorKind::BodyCut, "the request body ended early");
+        }
         self.backend.record_broken_answer(self.now());
         if !e.is_parse() {
             self.crash_report().spawn();
