--- a/crates/burdock-node/src/site/hub.rs
+++ b/crates/burdock-node/src/site/hub.rs
@@ -160,7 +160,9 @@
         }
         // A report that counts nothing only asks for changes of the store. It must not make this instance look like
         // a hub in use.
-        if received.report.instance_count > 0 || places_requests {
+        let has_traffic =
+            !(received.report.service_demands.is_empty() && received.report.refusals.is_empty());
+        if received.report.instance_count > 0 || places_requests || has_traffic {
             state.reporters.insert(sender.clone(), received);
         }
         let remote_in_flight =
