--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod platform;
 mod stop_beside_pipelining;
+mod upload_to_slow_upstream;
 
 use deployment::Record;
 
@@ -23,6 +24,7 @@
     let (name, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let with_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let run: fn(&Record, bool) -> bool = match name.as_str() {
+        "upload-to-slow-upstream" => upload_to_slow_upstream::run,
         "stop-beside-pipelining" => stop_beside_pipelining::run,
         _ => {
             println!("unknown case `{name}`");
