--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod http;
 mod json;
+mod pipelined_behind_refusal;
 mod platform;
 mod stop_beside_pipelining;
 mod upload_to_slow_upstream;
@@ -24,6 +25,7 @@
     let (name, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let with_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let run: fn(&Record, bool) -> bool = match name.as_str() {
+        "pipelined-behind-refusal" => pipelined_behind_refusal::run,
         "upload-to-slow-upstream" => upload_to_slow_upstream::run,
         "stop-beside-pipelining" => stop_beside_pipelining::run,
         _ => {
