Review case 9: the end of answers lost in a stop beside slow readers

A request stops counting as in flight when the last bytes of its answer are in the HTTP library's write buffer. A stop ends the process then, 3.0 to 4 s after the SIGTERM of the 6 s that it has, and the bytes that the caller's connection has not taken yet are lost.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod pipelined_behind_refusal;
 mod platform;
 mod stop_beside_pipelining;
+mod stop_beside_slow_reader;
 mod upload_to_slow_upstream;
 
 use deployment::Record;
@@ -25,6 +26,7 @@
     let (name, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let with_trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let run: fn(&Record, bool) -> bool = match name.as_str() {
+        "stop-beside-slow-reader" => stop_beside_slow_reader::run,
         "pipelined-behind-refusal" => pipelined_behind_refusal::run,
         "upload-to-slow-upstream" => upload_to_slow_upstream::run,
         "stop-beside-pipelining" => stop_beside_pipelining::run,
