--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 //! 2 if the case could not run.
 
 mod deployment;
+mod homes_in_a_restart;
 mod http;
 mod json;
 mod pipelined_behind_refusal;
@@ -29,6 +30,7 @@
         "stop-beside-slow-reader" => stop_beside_slow_reader::run,
         "pipelined-behind-refusal" => pipelined_behind_refusal::run,
         "upload-to-slow-upstream" => upload_to_slow_upstream::run,
+        "homes-in-a-restart" => homes_in_a_restart::run,
         "stop-beside-pipelining" => stop_beside_pipelining::run,
         _ => {
             println!("unknown case `{name}`");
