Keep callers with a home in their region while an instance restarts

Cause: the directory added all other regions when fewer than two instances were left, without regard to the restrictions of routes and organisations. The record of the case rules out a stale list (each answer named the running instance) and callers that kept an old answer.

Change: the configuration's index holds the regions that all restrictions on a host's requests allow; while the caller's region has an instance, only these are added. Counter steer.answers_abroad. Hosts without restrictions are steered as before, and so is a caller whose region has no instance.

--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -209,6 +209,8 @@
     /// Configuration as it was published.
     pub published: SiteConfig,
     routes_by_host: HashMap<String, Vec<usize>>,
+    // Hosts without homes are missing.
+    homes_by_host: HashMap<String, Vec<RegionName>>,
     organisation_by_key: HashMap<String, usize>,
     service_by_name: BTreeMap<ServiceName, usize>,
 }
@@ -224,13 +226,17 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|ix| std::cmp::Reverse(config.routes[*ix].prefix.len()));
         }
+        let homes_by_host = routes_by_host
+            .iter()
+            .filter_map(|(host, routes)| Some((host.clone(), common_homes(&config, routes)?)))
+            .collect();
         let mut organisation_by_key = HashMap::new();
         for (ix, organisation) in config.organisations.iter().enumerate() {
             organisation_by_key.extend(organisation.keys.iter().map(|key| (key.clone(), ix)));
         }
         let service_by_name =
             config.services.iter().enumerate().map(|(ix, s)| (s.name.clone(), ix)).collect();
-        Self { published: config, routes_by_host, organisation_by_key, service_by_name }
+        Self { published: config, routes_by_host, homes_by_host, organisation_by_key, service_by_name }
     }
 
     /// Returns the index of the route with the longest matching prefix for the host. A port in the host is
@@ -242,12 +248,22 @@
     /// ```
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<usize> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let routes =
-            self.routes_by_host.get(name).or_else(|| self.routes_by_host.get(&name.to_ascii_lowercase()))?;
+        let routes = find_host(&self.routes_by_host, host)?;
         routes.iter().copied().find(|ix| path.starts_with(&self.published.routes[*ix].prefix))
     }
 
+    /// Returns the regions in which every request to the host may run that is restricted to some regions, by its
+    /// route or by its organisation. `None` if no request to the host is restricted.
+    ///
+    /// ```
+    /// use burdock_model::site::SiteConfigIndex;
+    /// assert_eq!(SiteConfigIndex::default().homes("a.example"), None);
+    /// ```
+    #[must_use]
+    pub fn homes(&self, host: &str) -> Option<&[RegionName]> {
+        find_host(&self.homes_by_host, host).map(Vec::as_slice)
+    }
+
     /// Returns the index of the organisation that holds a key.
     #[must_use]
     pub fn organisation_of(&self, key: &str) -> Option<usize> {
@@ -267,6 +283,25 @@
     }
 }
 
+// Finds what is stored for a host. A port in the host is ignored.
+fn find_host<'a, T>(by_host: &'a HashMap<String, T>, host: &str) -> Option<&'a T> {
+    let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+    by_host.get(name).or_else(|| by_host.get(&name.to_ascii_lowercase()))
+}
+
+// Returns the regions that all restrictions on a host's requests allow. The organisations count unless all routes
+// of the host are open.
+fn common_homes(config: &SiteConfig, routes: &[usize]) -> Option<Vec<RegionName>> {
+    let routes = || routes.iter().map(|ix| &config.routes[*ix]);
+    let needs_key = routes().any(|route| !route.open);
+    let of_organisations = config.organisations.iter().filter(|_| needs_key).map(|o| &o.regions);
+    let restrictions = routes().map(|route| &route.regions).chain(of_organisations);
+    restrictions.filter(|regions| !regions.is_empty()).fold(None, |common, regions| match common {
+        None => Some(regions.clone()),
+        Some(common) => Some(common.into_iter().filter(|region| regions.contains(region)).collect()),
+    })
+}
+
 impl SiteConfig {
     /// Checks that the parts of the configuration are consistent.
     ///
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -80,6 +80,8 @@
     PeerQueries => "store.peer_queries",
     /// Steering answers sent.
     SteeringAnswers => "steer.answers",
+    /// Steering answers that name instances outside the caller's region.
+    SteeringAnswersAbroad => "steer.answers_abroad",
     /// Loans of tokens requested from other share holders.
     LoansRequested => "limits.loans_asked",
     /// Tokens borrowed from other share holders.
--- a/crates/burdock-node/src/site/directory.rs
+++ b/crates/burdock-node/src/site/directory.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use burdock_model::site::RegisteredInstance;
+use burdock_decide::directory::adds_region;
+use burdock_model::site::{RegisteredInstance, SiteConfigIndex};
 use burdock_platform::dialect::{DirectoryQuery, directory_response};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -24,9 +25,6 @@
 /// Maximum number of addresses in one answer, as many as callers use.
 const MAX_ADDRESSES: usize = 64;
 
-/// Minimum number of instances in the caller's region; with fewer, those of other regions are added.
-const MIN_LOCAL: usize = 2;
-
 /// Answers the directory's calls and the readiness check.
 ///
 /// # Errors
@@ -43,24 +41,34 @@
         return Ok(status(StatusCode::NOT_FOUND));
     }
     let query = DirectoryQuery::parse(req.uri().query());
-    let addresses = select_addresses(&node.fleet.view(), &query);
-    if addresses.is_empty() || node.phase() == Phase::Starting {
+    let view = node.fleet.view();
+    let instances = select_instances(&view, &node.config.load(), &query);
+    if instances.is_empty() || node.phase() == Phase::Starting {
         return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
     }
     node.counters.add(Counter::SteeringAnswers);
+    if instances.iter().any(|i| i.region.as_str() != query.region) {
+        node.counters.add(Counter::SteeringAnswersAbroad);
+    }
+    let addresses: Vec<SocketAddr> = instances.iter().map(|i| i.callers).collect();
     let ttl = ANSWER_TTL.min(node.settings.bounds.directory_ttl);
     let mut resp = Response::new(ResponseBody::buffered(directory_response(&addresses, ttl)));
     resp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     Ok(resp)
 }
 
-/// Returns the addresses for a caller: the steering targets of its region, and others where it has too few.
+/// Returns the instances for a caller: the steering targets of its region, and others where it has too few.
 #[must_use]
-pub fn select_addresses(view: &FleetView, query: &DirectoryQuery) -> Vec<SocketAddr> {
-    let (local, remote): (Vec<&RegisteredInstance>, Vec<&RegisteredInstance>) =
+pub fn select_instances<'a>(
+    view: &'a FleetView,
+    config: &SiteConfigIndex,
+    query: &DirectoryQuery,
+) -> Vec<&'a RegisteredInstance> {
+    let (local, remote): (Vec<_>, Vec<_>) =
         view.all_steering_targets().partition(|i| i.region.as_str() == query.region);
-    let more = if local.len() < MIN_LOCAL { remote } else { Vec::new() };
-    local.iter().chain(&more).map(|i| i.callers).take(MAX_ADDRESSES).collect()
+    let homes = config.homes(&query.host);
+    let added = remote.into_iter().filter(|i| adds_region(&i.region, local.len(), homes));
+    local.iter().copied().chain(added).take(MAX_ADDRESSES).collect()
 }
 
 fn readiness(node: &SiteNode) -> Response<ResponseBody> {
--- a/crates/burdock-node/tests/site_fleet.rs
+++ b/crates/burdock-node/tests/site_fleet.rs
@@ -4,8 +4,8 @@
 use burdock_decide::entries::{InstanceView, steering_targets};
 use burdock_decide::time::Time;
 use burdock_model::ids::{Incarnation, InstanceId, RegionName, ZoneName};
-use burdock_model::site::RegisteredInstance;
-use burdock_node::site::directory::select_addresses;
+use burdock_model::site::{RegisteredInstance, SiteConfigIndex};
+use burdock_node::site::directory::select_instances;
 use burdock_node::site::fleet::SiteFleet;
 use burdock_platform::dialect::DirectoryQuery;
 use googletest::prelude::*;
@@ -46,8 +46,12 @@
 }
 
 fn listed_count(fleet: &SiteFleet, region: &str) -> usize {
-    let question = DirectoryQuery { region: region.to_owned(), zone: format!("{region}-a") };
-    select_addresses(&fleet.view(), &question).len()
+    let query = DirectoryQuery {
+        host: "site.example".to_owned(),
+        region: region.to_owned(),
+        zone: format!("{region}-a"),
+    };
+    select_instances(&fleet.view(), &SiteConfigIndex::default(), &query).len()
 }
 
 #[gtest]
