Count early requests that a closing connection drops

Cause: when the HTTP library closes a caller's connection while requests that were started early are at work, nothing told of it: neither a log line nor a metric separated it from a caller that leaves.

Change: a warning and the counter pipeline.dropped, for connections that end on this side without an error.

--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -74,6 +74,8 @@
     MisleadingStatuses => "attempts.misleading_statuses",
     /// Long answers whose rest was held because requests that were started early wait behind them.
     AnswersHeldForOthers => "answers.held_for_others",
+    /// Requests that were started early and lost their answer because this instance closed the connection.
+    EarlyRequestsDropped => "pipeline.dropped",
     /// Callers that closed their sending side while a request was at work.
     CallersHalfClosed => "connections.half_closed",
     /// Calls to other instances for changes of the store.
--- a/crates/burdock-node/src/site/pipeline.rs
+++ b/crates/burdock-node/src/site/pipeline.rs
@@ -138,7 +138,13 @@
     /// Returns whether hyper has taken over every request that was started early.
     #[must_use]
     pub fn is_drained(&self) -> bool {
-        !self.state.lock().requests.iter().any(|r| matches!(r, PipelinedRequest::Started(_)))
+        self.started_count() == 0
+    }
+
+    /// Returns the number of requests that were started early and that hyper has not taken over.
+    #[must_use]
+    pub fn started_count(&self) -> usize {
+        self.state.lock().requests.iter().filter(|r| matches!(r, PipelinedRequest::Started(_))).count()
     }
 
     // A request that is not repeatable must not start early: if the connection closes before its turn, the
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -187,7 +187,10 @@
         loop {
             // An error of the connection concerns only its caller. A request that has arrived is read before
             // the connection may close as idle.
-            if connection.as_mut().poll(cx).is_ready() {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                if ended.is_ok() {
+                    pipeline.into_iter().for_each(|p| record_dropped_requests(node, p));
+                }
                 return Poll::Ready(());
             }
             // Requests that were started ahead of their turn are answered before the connection closes.
@@ -217,6 +220,15 @@
     .await;
 }
 
+// Counts the requests of a connection that was closed on this side while they were at work.
+fn record_dropped_requests(node: &SiteNode, pipeline: &Pipeline) {
+    let count = pipeline.started_count();
+    if count > 0 {
+        node.counters.add_many(Counter::EarlyRequestsDropped, count as u64);
+        log::warn!(requests = count; "a connection was closed before requests that were started early were answered");
+    }
+}
+
 // Returns a callback that finds the heads of requests in a connection's bytes and adds them to its pipeline.
 fn scan_heads(clock: Clock, pipeline: Option<Arc<Pipeline>>) -> OnBytes {
     let mut scanner = HeadScanner::default();
