Start requests behind a body only once it was read

Cause: requests behind a body started as soon as the body had arrived. The refused body was dropped unread, and the HTTP library closes the connection after the answer if more than one piece of a body is left.

Change: nothing starts behind a body until it was read to its end, whatever the reason for which it is left unread.

Why it works: what is started early can then be dropped only by a connection that closes for another reason; a body that was read to its end closes none.

--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -11,17 +11,15 @@
 use burdock_model::site::{Organisation, Route, SiteConfigIndex};
 use burdock_platform::dialect::Dialect;
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use http_body::Body;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::forward::body::{RequestBody, has_conflicting_lengths};
 use crate::observe::counters::Counter;
 use crate::phase::Phase;
 use crate::site::body::{AnswerError, ResponseBody};
+use crate::site::caller_body::CallerBody;
 use crate::site::hedge::HedgeResult;
 use crate::site::memory::HeldBytes;
 use crate::site::outbound::{Outbound, forwarded_headers};
@@ -37,18 +35,18 @@
 /// Time limit of a request whose caller states none.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
 
-/// Answers a request whose head arrived at `arrived_at`. `incoming` is its body, if it has one. A request
+/// Answers a request whose head arrived at `arrived_at`. `body` is its body, if it has one. A request
 /// that can't be served gets an answer with the error.
 pub async fn handle(
     node: Arc<SiteNode>,
     parts: Parts,
-    incoming: Option<Incoming>,
+    body: Option<CallerBody>,
     arrived_at: Time,
 ) -> Response<ResponseBody> {
     let guard = node.begin_request();
     node.counters.add(Counter::Requests);
     let config = node.config.load_full();
-    let result = answer(&node, &config, &parts, incoming, arrived_at).await;
+    let result = answer(&node, &config, &parts, body, arrived_at).await;
     let took = node.clock.now().since(arrived_at);
     let mut resp = match result {
         Ok(resp) => {
@@ -88,13 +86,19 @@
     node: &Arc<SiteNode>,
     config: &SiteConfigIndex,
     parts: &Parts,
-    incoming: Option<Incoming>,
+    mut body: Option<CallerBody>,
     arrived_at: Time,
 ) -> Result<Response<ResponseBody>, RequestFailure> {
-    let admitted = admit(node, config, parts, arrived_at).await;
-    let outbound = admitted.inspect_err(|e| record_refusal(node, parts, config, e, arrived_at))?;
-    let body = read_request_body(config, &outbound, parts, incoming, node).await;
-    let body = body.inspect_err(|e| record_refusal(node, parts, config, e, arrived_at))?;
+    let (outbound, body) = match admit_and_read(node, config, parts, &mut body, arrived_at).await {
+        Ok(admitted) => admitted,
+        Err(e) => {
+            record_refusal(node, parts, config, &e, arrived_at);
+            // A caller that waits for leave to send its body is not asked for it.
+            let discarded = body.filter(|_| !parts.headers.contains_key(EXPECT));
+            discarded.into_iter().for_each(CallerBody::discard);
+            return Err(e);
+        }
+    };
     let outcome = forward(node, config, &outbound, body).await;
     log_request(node, config, &outbound, &outcome);
     let answer = outcome.result?;
@@ -102,6 +106,18 @@
     Ok(answer.resp)
 }
 
+async fn admit_and_read<'a>(
+    node: &Arc<SiteNode>,
+    config: &'a SiteConfigIndex,
+    parts: &Parts,
+    body: &mut Option<CallerBody>,
+    arrived_at: Time,
+) -> Result<(Outbound<'a>, RequestBody), RequestFailure> {
+    let outbound = admit(node, config, parts, arrived_at).await?;
+    let body = read_request_body(config, &outbound, parts, body, node).await?;
+    Ok((outbound, body))
+}
+
 async fn admit<'a>(
     node: &Arc<SiteNode>,
     config: &'a SiteConfigIndex,
@@ -209,18 +225,18 @@
     config: &SiteConfigIndex,
     outbound: &Outbound<'_>,
     parts: &Parts,
-    incoming: Option<Incoming>,
+    body: &mut Option<CallerBody>,
     node: &SiteNode,
 ) -> Result<RequestBody, RequestFailure> {
     let limit = config.published.caller_limits.max_body_bytes;
-    let Some(mut incoming) = incoming.filter(|body| !body.is_end_stream()) else {
+    let Some(arriving) = body else {
         return Ok(RequestBody::Buffered(Bytes::new()));
     };
     let length: Option<u64> = header(&parts.headers, &CONTENT_LENGTH).and_then(|v| v.parse().ok());
     if length.is_some_and(|length| length > limit) {
         return Err(too_long_failure(limit));
     }
-    let read = read_start(&mut incoming, length, limit, node);
+    let read = read_start(arriving, length, limit, node);
     let (start, is_whole) = match tokio::time::timeout(outbound.time_left(node.clock.now()), read).await {
         Ok(read) => read?,
         Err(_elapsed) => {
@@ -234,16 +250,19 @@
     if !memory.try_grow(node.body_memory.transit_bytes(), BodyUse::LongBody) {
         return Err(no_memory_failure(node));
     }
+    let Some(arriving) = body.take() else {
+        return Ok(RequestBody::Buffered(start.freeze()));
+    };
     node.counters.add(Counter::BodiesStreamed);
-    let mut body = RequestBody::streamed(start.freeze(), incoming, limit);
-    body.hold_memory(memory);
-    Ok(body)
+    let mut streamed = RequestBody::streamed(start.freeze(), arriving.into_incoming(), limit);
+    streamed.hold_memory(memory);
+    Ok(streamed)
 }
 
 // Reads a body until its end if it may be held, otherwise as far as quarantine needs it to recognise the
 // request. Returns the bytes, and whether they are the whole body.
 async fn read_start(
-    incoming: &mut Incoming,
+    body: &mut CallerBody,
     length: Option<u64>,
     limit: u64,
     node: &SiteNode,
@@ -253,7 +272,7 @@
     let expected = length.map(|length| length.min(wanted)).and_then(|bytes| usize::try_from(bytes).ok());
     let mut start = node.body_memory.buffer();
     while (start.as_slice().len() as u64) < wanted {
-        let Some(frame) = incoming.frame().await else {
+        let Some(frame) = body.frame().await else {
             return Ok((start, true));
         };
         let frame = frame.map_err(|e| {
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod body;
+pub mod caller_body;
 pub mod directory;
 pub mod fleet;
 pub mod fleet_view;
--- a/crates/burdock-node/src/site/pipeline.rs
+++ b/crates/burdock-node/src/site/pipeline.rs
@@ -5,7 +5,8 @@
 //! answers keep the order of the requests.
 //!
 //! An answer that is forwarded before it is whole may break off and take the connection with it. So none is
-//! started behind a request whose route has had such answers; see [`burdock_decide::pipeline`].
+//! started behind a request whose route has had such answers; see [`burdock_decide::pipeline`]. Nor is one started
+//! behind a body that may be left unread; see [`crate::site::caller_body`].
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -38,6 +39,10 @@
     requests: VecDeque<PipelinedRequest>,
     // Number of requests that may start behind the one that hyper took over last.
     max_behind_current: Option<usize>,
+    // Number of requests that hyper has taken over.
+    position: u64,
+    // The body of the request that hyper took over last has not been read to its end.
+    is_body_unread: bool,
     // No further request is started early, because the connection is to close.
     is_closing: bool,
 }
@@ -84,7 +89,7 @@
     /// all the bytes that it can.
     pub fn start_waiting(&self) {
         let mut state = self.state.lock();
-        if state.is_closing {
+        if state.is_closing || state.is_body_unread {
             return;
         }
         let mut room = state.max_behind_current.unwrap_or(MAX_EARLY_REQUESTS);
@@ -110,6 +115,8 @@
         let next = {
             let mut state = self.state.lock();
             state.max_behind_current = Some(max_behind);
+            state.position += 1;
+            state.is_body_unread = false;
             state.requests.pop_front()
         };
         match next {
@@ -130,6 +137,23 @@
         }
     }
 
+    /// Starts no further request early until the body of the request that hyper took over last was read. Returns
+    /// the position of that request.
+    pub fn begin_body(&self) -> u64 {
+        let mut state = self.state.lock();
+        state.is_body_unread = true;
+        state.position
+    }
+
+    /// Records that the body of the request at a position was read to its end.
+    pub fn end_body(&self, position: u64) {
+        let mut state = self.state.lock();
+        // hyper may have taken over another request with a body since.
+        if state.position == position {
+            state.is_body_unread = false;
+        }
+    }
+
     /// Starts no further request early, because the connection is to close.
     pub fn stop_starting(&self) {
         self.state.lock().is_closing = true;
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -25,6 +25,7 @@
 use crate::phase::Phase;
 use crate::site::SiteNode;
 use crate::site::body::ResponseBody;
+use crate::site::caller_body::CallerBody;
 use crate::site::head_scan::HeadScanner;
 use crate::site::pipeline::Pipeline;
 use crate::site::read_ahead::{Filled, MAX_WRITE_STALL, OnBytes, ReadAhead};
@@ -256,7 +257,10 @@
     };
     let mut resp = match early_resp {
         Some(resp) => resp,
-        None => handle::handle(Arc::clone(&node), parts, Some(incoming), arrived_at).await,
+        None => {
+            let body = CallerBody::new(incoming, Arc::clone(&pipeline));
+            handle::handle(Arc::clone(&node), parts, body, arrived_at).await
+        }
     };
     if resp.body().is_streamed() && !pipeline.is_drained() {
         resp = handle::hold_rest(&node, resp).await;
--- a/crates/burdock-node/tests/pipelining.rs
+++ b/crates/burdock-node/tests/pipelining.rs
@@ -4,6 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use burdock_node::observe::counters::Counter;
+use burdock_standin::site::{SampleConfig, organisation};
 use googletest::prelude::*;
 use site_support::{Site, raw};
 
@@ -99,3 +101,46 @@
         expect_that!(site.run_count("smuggled"), eq(0), "length `{length}`");
     }
 }
+
+/// Body that is longer than one piece of what the HTTP server reads, and that arrives whole with what is behind it.
+const REFUSED_BODY_BYTES: usize = 34_000;
+
+// Guards against losing requests that run behind a body which nobody reads, as seen in review case 8.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_a_body_over_the_rate_are_answered() {
+    const CONNECTIONS: usize = 12;
+    let mut config = SampleConfig::new(2);
+    // An instance asks its hub for the first token of each organisation, so each refusal takes a moment.
+    for nth in 0..CONNECTIONS {
+        let (name, key) = (format!("tight-{nth}"), format!("key-{nth}"));
+        config.organisations.push(organisation(&name, &[&key], 0.01, 0.01));
+    }
+    let site = Site::start(2, 2).await;
+    config.publish(&site.store);
+    site.wait_until(async || site.config_versions() == [2; 2]).await;
+    let mut connections = Vec::new();
+    for nth in 0..CONNECTIONS {
+        let (tx, mut rx) = raw::connect(site.callers_address(nth % 2)).await;
+        let post = format!(
+            "POST /valves/1 HTTP/1.1\r\nhost: site.example\r\nx-burdockcroft-key: key-{nth}\r\nx-burdockcroft-attempt-id: {nth}-post\r\ncontent-length: {REFUSED_BODY_BYTES}\r\n\r\n{}",
+            "b".repeat(REFUSED_BODY_BYTES)
+        );
+        let behind = ["one", "two"].map(|name| request("/public/1", &format!("{nth}-{name}")));
+        connections.push(tokio::spawn(async move {
+            tx.send(post + &behind.concat());
+            rx.next_ids(3).await
+        }));
+    }
+    let mut lost = Vec::new();
+    for (nth, connection) in connections.into_iter().enumerate() {
+        let expected = ["post", "one", "two"].map(|name| format!("{nth}-{name}"));
+        let answered = connection.await.unwrap();
+        expect_that!(answered, eq(&expected));
+        expect_that!(site.run_count(&expected[0]), eq(0));
+        lost.extend(expected.into_iter().filter(|id| !answered.contains(id) && site.run_count(id) > 0));
+    }
+    expect_that!(lost, is_empty());
+    let dropped = site.instances.iter().map(|i| i.node.counters.get(Counter::EarlyRequestsDropped));
+    expect_that!(dropped.sum::<u64>(), eq(0));
+}
