Start nothing behind an answer that is being forwarded

Callers would see: a request that is sent while a long answer of its connection arrives is started, and lost if that answer breaks off, although a backend server ran it.

Cause: how many requests may start behind the current one was fixed when it was taken over, by the earlier answers of its route.

Change: when an answer begins to be forwarded, nothing more starts behind it.

Result: no_request_starts_behind_an_answer_that_is_being_forwarded failed before (one of four requests behind reached the backend server) and passes. The tests of pipelining and of streams pass.

--- a/crates/burdock-node/src/site/pipeline.rs
+++ b/crates/burdock-node/src/site/pipeline.rs
@@ -137,6 +137,12 @@
         }
     }
 
+    /// Starts no further request early until hyper takes over the next one, because the answer to the current one may
+    /// break off.
+    pub fn start_none_behind_current(&self) {
+        self.state.lock().max_behind_current = Some(0);
+    }
+
     /// Starts no further request early until the body of the request that hyper took over last was read. Returns
     /// the position of that request.
     pub fn begin_body(&self) -> u64 {
--- a/crates/burdock-node/src/site/serve.rs
+++ b/crates/burdock-node/src/site/serve.rs
@@ -262,8 +262,11 @@
             handle::handle(Arc::clone(&node), parts, body, arrived_at).await
         }
     };
-    if resp.body().is_streamed() && !pipeline.is_drained() {
-        resp = handle::hold_rest(&node, resp).await;
+    if resp.body().is_streamed() {
+        pipeline.start_none_behind_current();
+        if !pipeline.is_drained() {
+            resp = handle::hold_rest(&node, resp).await;
+        }
     }
     if node.phase() >= Phase::Draining && pipeline.is_drained() {
         resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/burdock-node/tests/pipelining.rs
+++ b/crates/burdock-node/tests/pipelining.rs
@@ -2,11 +2,13 @@
 
 mod site_support;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use burdock_node::observe::counters::Counter;
 use burdock_standin::site::{SampleConfig, organisation};
 use googletest::prelude::*;
+use parking_lot::Mutex;
 use site_support::{Site, raw};
 
 /// Service time of each request.
@@ -144,3 +146,38 @@
     let dropped = site.instances.iter().map(|i| i.node.counters.get(Counter::EarlyRequestsDropped));
     expect_that!(dropped.sum::<u64>(), eq(0));
 }
+
+/// Size of an answer that is too long to be held, and how much of it is sent.
+const LONG_ANSWER_BYTES: usize = 8 << 20;
+const SENT_BYTES: usize = 3 << 20;
+
+// Guards against losing requests that arrive while a long answer is forwarded, which may still break off.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_starts_behind_an_answer_that_is_being_forwarded() {
+    let site = Site::start(1, 0).await;
+    let arrived: Arc<Mutex<Vec<String>>> = Arc::default();
+    let noted = Arc::clone(&arrived);
+    let backend = raw::Backend::start(move |id| {
+        noted.lock().push(id.clone());
+        if id != "long" {
+            return vec![(SERVICE_TIME / 5, raw::build_answer(&id, "whole"))];
+        }
+        let mut answer = raw::build_answer(&id, &"x".repeat(LONG_ANSWER_BYTES));
+        answer.truncate(SENT_BYTES);
+        vec![(Duration::ZERO, answer)]
+    })
+    .await;
+    site.register("quotes-raw", "quotes", backend.address);
+    site.wait_until(async || !site.instances[0].node.backends.usable().services.is_empty()).await;
+    // The route has had whole answers, so that requests start behind its requests.
+    let (tx, mut rx) = raw::connect(site.callers_address(0)).await;
+    tx.send(request("/quotes/1", "first"));
+    expect_that!(rx.next_ids(1).await, eq(&ids("first")));
+    tx.send(request("/quotes/1", "long"));
+    expect_that!(rx.next_ids(1).await, eq(&ids("long")));
+    let behind = ["one", "two", "three", "four"];
+    tx.send(behind.map(|id| request("/quotes/1", id)).concat());
+    tokio::time::sleep(SERVICE_TIME / 2).await;
+    expect_that!(*arrived.lock(), eq(&ids("first long")));
+}
