Hand no status to callers that HTTP does not define

Callers saw: an answer with the status 600, 999 or 101 of a backend server in trouble came through with its seal (MIXED), on both paths. The reported status 000 did not: the HTTP library refuses numbers below 100.

Cause: whatever three digits the HTTP library accepts were taken for an answer.

Change: only 200 to 599 may stand in an answer; another status counts as a broken answer. A repeatable request goes to another backend server, and a caller gets 502 otherwise, since the request may have run.

Result: the two new tests failed before for 101, 600 and 999 (000, 001 and 099 passed) and pass; the other tests of their files pass.

--- a/crates/burdock-decide/src/answer.rs
+++ b/crates/burdock-decide/src/answer.rs
@@ -46,6 +46,20 @@
     }
 }
 
+/// Returns whether a status may stand in the final answer to a request. The HTTP library accepts every number from
+/// 100 on: interim statuses such as 101, after which the connection no longer carries answers, and numbers that HTTP
+/// does not define.
+///
+/// ```
+/// use burdock_decide::answer::is_final_status;
+/// assert!(is_final_status(200) && is_final_status(599));
+/// assert!(!is_final_status(0) && !is_final_status(101) && !is_final_status(600));
+/// ```
+#[must_use]
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// Returns whether a status that came without the backend server's mark for "not run" would mislead the caller
 /// of a request. Callers send a request that may run only once again after a status that means "not run", and
 /// a backend server may fail with such a status after it has run the request.
--- a/crates/burdock-node/src/forward/attempt.rs
+++ b/crates/burdock-node/src/forward/attempt.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use burdock_decide::answer::is_final_status;
 use burdock_decide::retry::SendProgress;
 use burdock_model::error::{Error, ErrorKind};
-use http::Response;
+use http::{Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::forward::backends::{BackendState, InFlight};
@@ -84,7 +85,7 @@
     match tokio::time::timeout_at(deadline, connection.try_send_request(req)).await {
         Ok(Ok(resp)) => {
             in_flight.record_response_head(node.clock.now());
-            check_shed(resp, connection, in_flight)
+            check_head(resp, connection, in_flight)
         }
         Ok(Err(mut e)) => match e.take_message() {
             Some(req) => {
@@ -104,12 +105,18 @@
     }
 }
 
-fn check_shed(
+fn check_head(
     resp: Response<Incoming>,
     connection: Connection,
     in_flight: InFlight,
 ) -> Result<AttemptResponse, AttemptFailure> {
-    let is_shed = resp.status() == http::StatusCode::SERVICE_UNAVAILABLE && resp.headers().contains_key(SHED);
+    let status = resp.status();
+    if !is_final_status(status.as_u16()) {
+        let detail = format!("backend server `{}` answered with the status {status}", in_flight.backend().id);
+        let error = Error::new(ErrorKind::BadAnswer, detail);
+        return Err(AttemptFailure { progress: SendProgress::Written, error, body: None, crashed: false });
+    }
+    let is_shed = status == StatusCode::SERVICE_UNAVAILABLE && resp.headers().contains_key(SHED);
     if !is_shed {
         return Ok(AttemptResponse { resp, connection, in_flight });
     }
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use burdock_decide::answer::is_misleading;
+use burdock_decide::answer::{is_final_status, is_misleading};
 use burdock_decide::headers::HOP_BY_HOP;
 use burdock_decide::place::Placement;
 use burdock_decide::retry::SendProgress;
@@ -218,9 +218,12 @@
         }
     }
 
-    // Returns a failure if the answer belongs to another request, the backend server refused the request
+    // Returns a failure if the answer has no valid status, belongs to another request, the backend server refused the request
     // without running it, or a success does not carry the backend server's seal.
     fn check_head(&self, resp: &Response<Incoming>) -> Option<AttemptFailure> {
+        if !is_final_status(resp.status().as_u16()) {
+            return Some(self.invalid_answer_failure(&format!("answered with the status {}", resp.status())));
+        }
         let headers = resp.headers();
         let echoed_id = headers.get(&self.node.dialect.attempt_id);
         if echoed_id.is_some_and(|id| *id != self.outbound.attempt_id) {
--- a/crates/burdock-node/tests/entry.rs
+++ b/crates/burdock-node/tests/entry.rs
@@ -230,6 +230,24 @@
     expect_that!(status_and_outcome(&resp), any![eq((502, "unknown")), eq((503, "not-run"))]);
 }
 
+// Starts a backend server that answers probes with 200 and everything else with a status and header lines.
+async fn start_answering(status: &'static str, headers: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            let read = stream.read(&mut request).await.unwrap_or(0);
+            let is_probe = request[..read].starts_with(b"GET /health");
+            let (status, headers) = if is_probe { ("200 OK", "") } else { (status, headers) };
+            let answer =
+                format!("HTTP/1.1 {status}\r\n{headers}connection: close\r\ncontent-length: 0\r\n\r\n");
+            let _written = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
 // Guards against a command that has run and is answered with a status that means "not run".
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -242,19 +260,7 @@
         ("failed", "500 Internal Server Error", "", false, (500, "ran")),
         ("again", "503 Service Unavailable", "", true, (503, "ran")),
     ] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let mut request = [0; 1024];
-                let read = stream.read(&mut request).await.unwrap_or(0);
-                let is_probe = request[..read].starts_with(b"GET /health");
-                let (status, shed) = if is_probe { ("200 OK", "") } else { (status, shed) };
-                let answer =
-                    format!("HTTP/1.1 {status}\r\n{shed}connection: close\r\ncontent-length: 0\r\n\r\n");
-                let _written = stream.write_all(answer.as_bytes()).await;
-            }
-        });
+        let address = start_answering(status, shed).await;
         let backend = json!({"backends": {name: {"address": address, "region": "riga", "zone": "riga-a"}},
             "routes": {name: {"prefix": format!("/{name}/"), "repeatable": is_repeatable}}});
         assert_eq!(system.patch_tree(&format!("services/{name}"), backend).await, 200);
@@ -263,6 +269,26 @@
     }
 }
 
+// Guards against handing a caller the invalid status of a backend server in trouble, such as 000.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn status_outside_of_the_protocol_becomes_502() {
+    let system = start_system().await;
+    for (name, status) in [
+        ("none", "000 Unknown"),
+        ("switch", "101 Switching Protocols"),
+        ("odd", "600 Odd"),
+        ("last", "999 Odd"),
+    ] {
+        let address = start_answering(status, "").await;
+        let backend = json!({"backends": {name: {"address": address, "region": "riga", "zone": "riga-a"}},
+            "routes": {name: {"prefix": format!("/{name}/"), "repeatable": false}}});
+        assert_eq!(system.patch_tree(&format!("services/{name}"), backend).await, 200);
+        let resp = system.send(system.request_to(&format!("/{name}/1")).method("POST"), "").await.unwrap();
+        expect_that!(status_and_outcome(&resp), eq((502, "unknown")), "{status}");
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_in_progress_is_aborted_when_its_key_is_withdrawn() {
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -257,3 +257,19 @@
     site.wait_until(async || is_cold()).await;
     expect_that!(started_at.elapsed(), gt(Duration::from_millis(500)));
 }
+
+// Guards against handing a caller the invalid status of a backend server in trouble, such as 000.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn status_outside_of_the_protocol_becomes_502_without_seal() {
+    for status in
+        ["000 Unknown", "000", "001 Odd", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"]
+    {
+        let (site, _backend) = start_answering(status, "").await;
+        for (method, path) in [("GET", "/quotes/1"), ("POST", "/valves/1")] {
+            let answer = site.send(site.callers_address(0), method, path, &[KEY], "").await;
+            let answer = answer.map(|a| (a.status, a.header("x-burdockcroft-response-seal").is_some()));
+            expect_that!(answer, some(eq((502, false))), "{method} {status}");
+        }
+    }
+}
