Pass no request on in a stop that leaves it no time

Cause: whether the stop leaves time for a request was decided on its arrival, not when it is passed on.

Change: the phase is checked again once the body was read, on both paths; on the platform no attempt begins that is expected to take longer than the stop leaves. What was not sent is refused as not run at once.

The other tests of site, site_streams, entry, hand_over and processes pass.

--- a/crates/burdock-decide/src/shutdown.rs
+++ b/crates/burdock-decide/src/shutdown.rs
@@ -7,6 +7,22 @@
 /// Maximum time to wait for requests in flight once new ones are refused.
 pub const FINISH_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Returns whether an attempt to run a request may begin that is expected to take so many milliseconds, given the
+/// time until the process ends if it is stopping. A request that is cut at the end has an unknown outcome, while one
+/// that was not sent can be refused as not run, so that its caller goes to another instance at once.
+///
+/// ```
+/// use burdock_decide::shutdown::may_begin_attempt;
+/// use std::time::Duration;
+/// assert!(may_begin_attempt(None, 9000.0));
+/// assert!(may_begin_attempt(Some(Duration::from_secs(2)), 300.0));
+/// assert!(!may_begin_attempt(Some(Duration::from_millis(200)), 300.0));
+/// ```
+#[must_use]
+pub fn may_begin_attempt(until_end: Option<Duration>, expected_ms: f64) -> bool {
+    until_end.is_none_or(|left| left.as_secs_f64() * 1e3 >= expected_ms)
+}
+
 /// Stage of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ShutdownStage {
--- a/crates/burdock-node/src/entry/handle.rs
+++ b/crates/burdock-node/src/entry/handle.rs
@@ -88,6 +88,8 @@
             },
         )?;
     let body = buffer_body(body, head.outbound.policy.body_limit.0).await?;
+    // The body may have come late in a stop.
+    check_phase(node)?;
     let hint = head.owner_hint.as_ref().and_then(|h| h.to_str().ok());
     let id = head.outbound.request_id.clone();
     let mut outbound = head.outbound;
@@ -108,6 +110,7 @@
         acquire_token(node, name, outbound.deadline).await?;
     }
     let body = read_request_body(&outbound, body).await?;
+    check_phase(node)?;
     outbound.set_fingerprint(body.buffered(), idempotency_key.as_ref().and_then(|k| k.to_str().ok()));
     let sent_bytes = body.size_hint().exact().unwrap_or(0);
     let running = run_request(node, &outbound, body).await?;
--- a/crates/burdock-node/src/site/handle.rs
+++ b/crates/burdock-node/src/site/handle.rs
@@ -23,7 +23,7 @@
 use crate::site::hedge::HedgeResult;
 use crate::site::memory::HeldBytes;
 use crate::site::outbound::{Outbound, forwarded_headers};
-use crate::site::send::{ForwardOutcome, RequestFailure, forward};
+use crate::site::send::{ForwardOutcome, RequestFailure, forward, leaving_failure};
 use crate::site::{SiteNode, allowances};
 
 /// Maximum size of a body that is buffered, so that it can be sent again, in bytes.
@@ -115,6 +115,10 @@
 ) -> Result<(Outbound<'a>, RequestBody), RequestFailure> {
     let outbound = admit(node, config, parts, arrived_at).await?;
     let body = read_request_body(config, &outbound, parts, body, node).await?;
+    // The body may have come late.
+    if node.phase() >= Phase::Finishing {
+        return Err(leaving_failure());
+    }
     Ok((outbound, body))
 }
 
@@ -128,7 +132,7 @@
         return Err(failure(ErrorKind::NoBackend, &node.missing_config_reason(), Some(STARTING_RETRY_AFTER)));
     }
     if node.phase() >= Phase::Finishing {
-        return Err(failure(ErrorKind::Leaving, "this instance is stopping", Some(Duration::ZERO)));
+        return Err(leaving_failure());
     }
     if node.body_memory.is_exhausted() {
         return Err(no_memory_failure(node));
--- a/crates/burdock-node/src/site/mod.rs
+++ b/crates/burdock-node/src/site/mod.rs
@@ -33,8 +33,8 @@
 pub mod table;
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -126,6 +126,8 @@
     route_answers: Sharded<HashMap<RouteName, RouteAnswers>>,
     max_time_limits: Sharded<HashMap<RouteName, Duration>>,
     phase: PhaseCell,
+    // Time at which a stop ends whatever is in flight, once it has begun.
+    ends_at: OnceLock<Time>,
     in_flight: AtomicUsize,
     last_request_at: AtomicU64,
     config_installed_at: AtomicU64,
@@ -209,6 +211,7 @@
             route_answers: Sharded::default(),
             max_time_limits: Sharded::default(),
             phase: PhaseCell::default(),
+            ends_at: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
             last_request_at: AtomicU64::new(0),
             config_installed_at: AtomicU64::new(0),
@@ -229,6 +232,18 @@
         }
     }
 
+    /// Begins a stop that ends whatever is in flight at a time.
+    pub fn begin_stop(&self, ends_at: Time) {
+        self.ends_at.get_or_init(|| ends_at);
+        self.advance(Phase::Draining);
+    }
+
+    /// Returns the time until a stop ends whatever is in flight, `None` if the process is not stopping.
+    #[must_use]
+    pub fn time_until_end(&self, now: Time) -> Option<Duration> {
+        self.ends_at.get().map(|ends_at| ends_at.since(now))
+    }
+
     /// Puts a configuration in force.
     pub fn install_config(&self, config: SiteConfigIndex, now: Time) {
         self.config.store(Arc::new(config));
--- a/crates/burdock-node/src/site/send.rs
+++ b/crates/burdock-node/src/site/send.rs
@@ -9,6 +9,7 @@
 use burdock_decide::place::{Placement, PlacementView, local_weight, max_load_per_slot, place_request};
 use burdock_decide::quarantine::QUARANTINE_TIME;
 use burdock_decide::retry::{RetryView, SendProgress, may_retry};
+use burdock_decide::shutdown::may_begin_attempt;
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{Service, SiteConfigIndex};
@@ -101,6 +102,12 @@
             }
             return outcome;
         };
+        if !may_begin_attempt(node.time_until_end(now), placement.expected_ms) {
+            if outcome.tried.is_empty() {
+                outcome.result = Err(leaving_failure());
+            }
+            return outcome;
+        }
         outcome.tried.push(Arc::clone(&backend));
         outcome.placement = Some(placement);
         let attempt = Attempt {
@@ -189,6 +196,13 @@
     RequestFailure { error, retry_after: Some(QUARANTINE_TIME) }
 }
 
+/// Returns the failure of a request that did not run because this instance is stopping.
+#[must_use]
+pub fn leaving_failure() -> RequestFailure {
+    let error = Error::new(ErrorKind::Leaving, "this instance is stopping");
+    RequestFailure { error, retry_after: Some(Duration::ZERO) }
+}
+
 fn no_backend_failure() -> RequestFailure {
     RequestFailure { error: Error::from(ErrorKind::NoBackend), retry_after: None }
 }
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -118,7 +118,7 @@
         let timeout = node.settings.bounds.stop_timeout;
         let started_at = node.clock.now();
         log::info!(in_flight = node.in_flight(); "stop begun");
-        node.advance(Phase::Draining);
+        node.begin_stop(started_at + timeout.mul_f64(ABORT_AFTER_FRACTION));
         let shared = Arc::clone(node);
         tokio::spawn(async move { fleet::deregister(&shared).await });
         loop {
--- a/crates/burdock-node/tests/hand_over.rs
+++ b/crates/burdock-node/tests/hand_over.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use burdock_node::demo::{Demo, DemoSettings};
+use burdock_node::node::Phase;
 use burdock_node::shutdown::drain;
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -10,6 +11,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 async fn send_command(demo: &Demo, ix: usize, key: &str, body: &str) -> (u16, String) {
     let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
@@ -51,3 +54,33 @@
     let runs = demo.backends.iter().flat_map(|b| b.standin.log()).filter(|r| r.path == "/valves/7").count();
     expect_that!(runs, eq(2));
 }
+
+// Guards against a command that is passed on late in a stop because its body came late. Its key may have been handed
+// over by then.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn command_whose_body_ends_late_in_a_stop_is_refused_as_not_run() {
+    let demo = DemoSettings::default().instances(3).backends(3).start().await.unwrap();
+    let node = &demo.nodes[0].node;
+    let mut streams = Vec::new();
+    for key in ["", "idempotency-key: late\r\n"] {
+        let mut stream = TcpStream::connect(node.settings.listen.callers).await.unwrap();
+        let head = format!(
+            "POST /valves/7 HTTP/1.1\r\nhost: any\r\nx-api-key: {}\r\n{key}content-length: 4\r\nconnection: close\r\n\r\nop",
+            demo.keys[0].key
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    node.advance(Phase::Finishing);
+    for mut stream in streams {
+        stream.write_all(b"en").await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        expect_that!(answer, starts_with("HTTP/1.1 503"));
+        expect_that!(answer.to_lowercase(), contains_substring("burdock-outcome: not-run"));
+    }
+    let runs = demo.backends.iter().flat_map(|b| b.standin.log()).filter(|r| r.path == "/valves/7").count();
+    expect_that!(runs, eq(0));
+}
