Take no refusal without an id for that of a later request

Callers would see: a faulty backend server writes an earlier refusal once more on a kept connection; without an id the copy was taken for the refusal of the command that the backend server runs, which then ran at a second one (TWICE) or was reported as not run (REFUSED). Reported by other operators.

Cause: the id of an answer was compared only if it had one, and the mark for "not run" was trusted without it.

Change: on a connection with earlier answers a refusal without an id proves nothing about a request that may run only once: 502, and no other backend server. Counter attempts.unattributed_refusals.

Result: earlier_refusal_on_a_kept_connection_is_no_promise failed before in four of five cases (both backend servers asked, 503; the case with the id of another request held) and passes. refusal_that_is_written_twice_concerns_no_later_request shows that burdockd run uses no connection after a refusal; it passes with and without the change.

--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -47,9 +47,16 @@
     task: AbortHandle,
     idle_since: Instant,
     max_idle_time: Duration,
+    has_carried_answers: bool,
 }
 
 impl Connection {
+    /// Returns whether an answer to an earlier request came on the connection, so that a late copy of it may come, too.
+    #[must_use]
+    pub const fn has_carried_answers(&self) -> bool {
+        self.has_carried_answers
+    }
+
     /// Sets how long the backend server keeps the connection while it is idle.
     pub fn set_max_idle_time(&mut self, max_idle_time: Duration) {
         self.max_idle_time = max_idle_time.min(MAX_IDLE_TIME);
@@ -156,6 +163,7 @@
         let has_room = self.open_connections() <= self.max_open.load(Ordering::Relaxed);
         if has_room && !connection.is_closed() {
             connection.idle_since = Instant::now();
+            connection.has_carried_answers = true;
             self.idle.lock().push(connection);
         }
     }
@@ -215,6 +223,7 @@
             task: task.abort_handle(),
             idle_since: Instant::now(),
             max_idle_time: MAX_IDLE_TIME,
+            has_carried_answers: false,
         })
     }
 }
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -72,6 +72,8 @@
     RetryBudgetSpent => "attempts.over_budget",
     /// Statuses of backend servers that would have wrongly meant "not run" and were replaced.
     MisleadingStatuses => "attempts.misleading_statuses",
+    /// Refusals without an id, on connections with earlier answers, of requests that may run only once.
+    UnattributedRefusals => "attempts.unattributed_refusals",
     /// Long answers whose rest was held because requests that were started early wait behind them.
     AnswersHeldForOthers => "answers.held_for_others",
     /// Requests that were started early and lost their answer because this instance closed the connection.
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -118,7 +118,7 @@
         };
         self.has_head.store(true, Ordering::Relaxed);
         self.record_reported_state(&resp);
-        if let Some(failure) = self.check_head(&resp) {
+        if let Some(failure) = self.check_head(&resp, connection.has_carried_answers()) {
             return Err(failure);
         }
         let (parts, incoming) = resp.into_parts();
@@ -219,8 +219,9 @@
     }
 
     // Returns a failure if the answer has no valid status, belongs to another request, the backend server refused the request
-    // without running it, or a success does not carry the backend server's seal.
-    fn check_head(&self, resp: &Response<Incoming>) -> Option<AttemptFailure> {
+    // without running it, or a success does not carry the backend server's seal. `may_be_late` says that it may be an
+    // answer to an earlier request if it has no id.
+    fn check_head(&self, resp: &Response<Incoming>, may_be_late: bool) -> Option<AttemptFailure> {
         if !is_final_status(resp.status().as_u16()) {
             return Some(self.invalid_answer_failure(&format!("answered with the status {}", resp.status())));
         }
@@ -233,9 +234,13 @@
         let is_misdirected = resp.status() == StatusCode::MISDIRECTED_REQUEST;
         if is_not_run || is_misdirected {
             self.backend.record_refusal(self.now());
-            if !is_not_run && is_misleading(resp.status().as_u16(), self.outbound.route.repeatable) {
+            let is_repeatable = self.outbound.route.repeatable;
+            if !is_not_run && is_misleading(resp.status().as_u16(), is_repeatable) {
                 return Some(self.misleading_status_failure(resp.status()));
             }
+            if echoed_id.is_none() && may_be_late && !is_repeatable {
+                return Some(self.unattributed_refusal_failure());
+            }
             let error = self.error(ErrorKind::Overloaded, "refused the request without running it");
             return Some(AttemptFailure { progress: SendProgress::Shed, error, body: None, answer: None });
         }
@@ -255,6 +260,14 @@
         self.written_failure(ErrorKind::BadAnswer, &detail)
     }
 
+    // The refusal may be that of an earlier request, while the backend server runs this one.
+    fn unattributed_refusal_failure(&self) -> AttemptFailure {
+        let detail = "sent a refusal without an id on a connection with earlier answers";
+        log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
+        self.node.counters.add(Counter::UnattributedRefusals);
+        self.written_failure(ErrorKind::BadAnswer, detail)
+    }
+
     fn invalid_answer_failure(&self, detail: &str) -> AttemptFailure {
         self.backend.record_broken_answer(self.now());
         log::info!(backend = self.name().as_str(), id = self.id(); "{detail}");
--- a/crates/burdock-node/tests/entry.rs
+++ b/crates/burdock-node/tests/entry.rs
@@ -1,6 +1,8 @@
 //! Malformed requests and broken backend answers, over raw connections to a running system.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use burdock_node::demo::{Demo, DemoSettings};
@@ -289,6 +291,40 @@
     }
 }
 
+// Guards against taking a refusal that a backend server writes once more for that of the next request: no connection
+// is used again after a refusal.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_that_is_written_twice_concerns_no_later_request() {
+    let system = start_system().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let has_refused = Arc::new(AtomicBool::new(false));
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let has_refused = Arc::clone(&has_refused);
+            tokio::spawn(async move {
+                let mut request = [0; 1024];
+                let mut refuses = false;
+                while let Ok(read @ 1..) = stream.read(&mut request).await {
+                    let is_command = request[..read].starts_with(b"POST");
+                    refuses |= is_command && !has_refused.swap(true, Ordering::Relaxed);
+                    let status = if refuses { "503 Busy\r\nx-shed: 1" } else { "200 OK" };
+                    let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+                    let _written = stream.write_all(answer.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let backend = json!({"backends": {"twice": {"address": address, "region": "riga", "zone": "riga-a"}},
+        "routes": {"twice": {"prefix": "/twice/", "repeatable": false}}});
+    assert_eq!(system.patch_tree("services/twice", backend).await, 200);
+    for expected in [(503, "not-run"), (200, "ran"), (200, "ran")] {
+        let resp = system.send(system.request_to("/twice/1").method("POST"), "").await.unwrap();
+        expect_that!(status_and_outcome(&resp), eq(expected));
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_in_progress_is_aborted_when_its_key_is_withdrawn() {
--- a/crates/burdock-node/tests/site_truthful.rs
+++ b/crates/burdock-node/tests/site_truthful.rs
@@ -273,3 +273,49 @@
         }
     }
 }
+
+// Guards against taking a refusal that a backend server writes once more on a kept connection for that of the
+// request that it runs.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_refusal_on_a_kept_connection_is_no_promise() {
+    let stale_id = "x-burdockcroft-attempt-id: stale\r\n";
+    for (status, id_line) in [
+        ("503 Service Unavailable", stale_id),
+        ("503 Service Unavailable", ""),
+        ("429 Too Many Requests", ""),
+        ("421 Misdirected Request", ""),
+        ("400 Bad Request", ""),
+    ] {
+        let case = format!("{status}, `{}`", id_line.trim_end());
+        let site = Site::start(1, 0).await;
+        let arrived = Arc::new(AtomicUsize::new(0));
+        let script = {
+            let (arrived, id_line) = (Arc::clone(&arrived), id_line.to_owned());
+            move |id: String| {
+                // The first request of the connection is answered; behind it comes a refusal of an earlier one.
+                if id == "first" {
+                    return vec![(Duration::ZERO, raw::build_answer(&id, "whole"))];
+                }
+                arrived.fetch_add(1, Ordering::Relaxed);
+                let refusal =
+                    format!("HTTP/1.1 {status}\r\n{id_line}{NOT_RUN_MARK}content-length: 0\r\n\r\n");
+                vec![(Duration::ZERO, refusal.into_bytes())]
+            }
+        };
+        let backends = [raw::Backend::start(script.clone()).await, raw::Backend::start(script).await];
+        for (ix, backend) in backends.iter().enumerate() {
+            site.register(&format!("valves-{ix}"), "valves", backend.address);
+        }
+        let node = &site.instances[0].node;
+        site.wait_until(async || node.backends.usable().services.values().any(|b| b.len() == 2)).await;
+        let send = async |id| {
+            let headers = [KEY, ("x-burdockcroft-attempt-id", id), ("x-burdockcroft-affinity-key", "7")];
+            site.post(0, "/valves/1", &headers, "open").await.unwrap().status
+        };
+        expect_that!(send("first").await, eq(200), "{case}");
+        expect_that!(send("second").await, eq(502), "{case}");
+        // It may have run, so it must not run at the other backend server.
+        expect_that!(arrived.load(Ordering::Relaxed), eq(1), "{case}");
+    }
+}
