--- a/crates/burdock-model/src/lib.rs
+++ b/crates/burdock-model/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod site_check;
 pub mod site_settings;
 pub mod snapshot;
+pub mod store_position;
 pub mod tree;
 pub mod treepath;
 pub mod units;
--- a/crates/burdock-model/src/prelude.rs
+++ b/crates/burdock-model/src/prelude.rs
@@ -6,5 +6,6 @@
     ServiceName, ZoneName,
 };
 pub use crate::snapshot::Snapshot;
+pub use crate::store_position::StorePosition;
 pub use crate::tree::Tree;
 pub use crate::units::{Millis, Rate, Size};
--- a/crates/burdock-node/benches/soak.rs
+++ b/crates/burdock-node/benches/soak.rs
@@ -40,6 +40,9 @@
     /// Seconds during which each run injects faults.
     #[bpaf(fallback(12))]
     seconds: u64,
+    /// How often the store of each run comes back from an older copy.
+    #[bpaf(fallback(0))]
+    restores: usize,
     /// Number of runs at the same time.
     #[bpaf(fallback(3))]
     jobs: usize,
@@ -66,6 +69,7 @@
         seed: first + nth,
         instances: options.processes,
         fault_time: Duration::from_secs(options.seconds),
+        restores: options.restores,
         ..Scenario::default()
     });
     let mut outcomes = futures::stream::iter(scenarios)
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -80,6 +80,8 @@
     EarlyRequestsDropped => "pipeline.dropped",
     /// Callers that closed their sending side while a request was at work.
     CallersHalfClosed => "connections.half_closed",
+    /// Times that the store came back from an older copy.
+    StoreRestores => "store.restores",
     /// Calls to other instances for changes of the store.
     PeerQueries => "store.peer_queries",
     /// Steering answers sent.
--- a/crates/burdock-node/src/site/fleet.rs
+++ b/crates/burdock-node/src/site/fleet.rs
@@ -1,6 +1,6 @@
 //! The instances of the deployment, and the registration of this one in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -10,8 +10,9 @@
 use burdock_decide::time::Time;
 use burdock_model::ids::InstanceId;
 use burdock_model::site::RegisteredInstance;
+use burdock_model::store_position::StorePosition;
 use burdock_platform::decode::{FLEET_SIZE_KEY, FLEET_WEIGHT_KEY, instance_key};
-use burdock_platform::kv::{CommitOutcome, Transaction};
+use burdock_platform::kv::{CommitOutcome, Lease, Transaction};
 use burdock_platform::store::StoreResult;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -49,6 +50,17 @@
 /// only be cut off from the store.
 const DELISTED_TTL: Duration = Duration::from_secs(10);
 
+/// Time for which an instance stays listed whose entry is missing from a copy that the store came back from. Entries
+/// are back within about two seconds.
+const MISSING_ENTRY_RETENTION: Duration = Duration::from_millis(2500);
+
+/// Time after which the entry of a delisted instance in such a copy counts if it is still there: more than its lease.
+const COPIED_ENTRY_DOUBT: Duration = Duration::from_secs(7);
+
+/// Range of the random delay after which an entry is written in a new era of the store, so that the instances don't
+/// call it at the same moment.
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(800);
+
 /// Uptime from which an instance may lower the fleet size recorded in the store. One that has just started
 /// may miss entries, and never saw those that others still count.
 const MIN_UPTIME_TO_LOWER_SIZE: Duration = Duration::from_secs(60);
@@ -64,8 +76,8 @@
     recorded_size: AtomicUsize,
     // The sum of weights recorded in the store; 0 for none.
     recorded_weight: AtomicU64,
-    // The store's revision of this instance's own entry; 0 while it has none.
-    entry_revision: AtomicU64,
+    // State of the store in which this instance's own entry was written, if it has one.
+    entry_position: Mutex<Option<StorePosition>>,
     entry_missing: Notify,
     is_registered: AtomicBool,
 }
@@ -74,6 +86,24 @@
 struct Member {
     registered: RegisteredInstance,
     delisted_at: Option<Time>,
+    // The entry is missing from a copy of the store, and the instance stays listed until then.
+    missing_until: Option<Time>,
+    // A copy of the store holds the entry of this delisted instance again.
+    copied: Option<CopiedEntry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CopiedEntry {
+    // Revision of the entry in the copy. A later one was written since.
+    revision: u64,
+    // The entry counts if it is still there then.
+    doubted_until: Time,
+}
+
+impl Member {
+    const fn listed(registered: RegisteredInstance) -> Self {
+        Self { registered, delisted_at: None, missing_until: None, copied: None }
+    }
 }
 
 impl SiteFleet {
@@ -82,22 +112,79 @@
         let mut members = self.members.lock();
         match (entry, members.get_mut(id)) {
             (Some(registered), _) => {
-                members.insert(id.clone(), Member { registered, delisted_at: None });
+                members.insert(id.clone(), Member::listed(registered));
             }
             (None, Some(member)) => {
                 member.delisted_at.get_or_insert(now);
+                member.copied = None;
             }
             (None, None) => {}
         }
         self.is_stale.store(true, Ordering::Release);
     }
 
+    /// Applies an entry of the first read after the store came back from an older copy. One of an instance that left
+    /// since ends with its lease; until then it is not listed again.
+    pub fn apply_copied_entry(&self, registered: RegisteredInstance, revision: u64, now: Time) {
+        let mut members = self.members.lock();
+        let known = members.get_mut(&registered.id).filter(|member| {
+            member.delisted_at.is_some() && member.registered.incarnation == registered.incarnation
+        });
+        if let Some(member) = known {
+            member.copied = Some(CopiedEntry { revision, doubted_until: now + COPIED_ENTRY_DOUBT });
+        } else {
+            members.insert(registered.id.clone(), Member::listed(registered));
+        }
+        self.is_stale.store(true, Ordering::Release);
+    }
+
+    /// Returns whether an instance's entry at a revision is one of a copy that does not count yet.
+    #[must_use]
+    pub fn is_doubted(&self, id: &InstanceId, revision: u64) -> bool {
+        let members = self.members.lock();
+        members.get(id).and_then(|member| member.copied).is_some_and(|copied| revision <= copied.revision)
+    }
+
+    /// Delists the instances that a full read of the store did not list. Those that the first read of a new era lacks
+    /// stay listed for as long as writing their entries again may take.
+    pub fn retain_listed(&self, listed: &BTreeSet<InstanceId>, is_new_era: bool, now: Time) {
+        let mut members = self.members.lock();
+        for (id, member) in members.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
+            if is_new_era && member.delisted_at.is_none() {
+                log::info!(instance = id.as_str(); "instance missing from the copy of the store stays listed for now");
+                member.missing_until.get_or_insert(now + MISSING_ENTRY_RETENTION);
+            } else if member.missing_until.is_none() {
+                member.delisted_at.get_or_insert(now);
+            }
+        }
+        self.is_stale.store(true, Ordering::Release);
+    }
+
+    /// Triggers a new registration if this instance's entry was written in an earlier era.
+    pub fn begin_era(&self, era: u64) {
+        if self.entry_position.lock().is_some_and(|own| own.era < era) {
+            self.entry_missing.notify_one();
+        }
+    }
+
     /// Removes instances that have been delisted for so long that they no longer count.
     pub fn sweep(&self, now: Time) {
         let mut members = self.members.lock();
         let before = members.len();
+        let mut is_changed = false;
+        for member in members.values_mut() {
+            let is_due = |until: &mut Time| now >= *until;
+            if member.missing_until.take_if(is_due).is_some() {
+                member.delisted_at.get_or_insert(now);
+                is_changed = true;
+            }
+            if member.copied.take_if(|copied| now >= copied.doubted_until).is_some() {
+                member.delisted_at = None;
+                is_changed = true;
+            }
+        }
         members.retain(|_, m| m.delisted_at.is_none_or(|at| now.since(at) < DELISTED_TTL));
-        if members.len() != before {
+        if is_changed || members.len() != before {
             self.is_stale.store(true, Ordering::Release);
         }
     }
@@ -144,10 +231,9 @@
         self.recorded_weight.load(Ordering::Relaxed)
     }
 
-    /// Triggers a new registration when this instance's entry is missing at a later revision than its own.
-    pub fn notify_own_entry_missing(&self, revision: u64) {
-        let entry_revision = self.entry_revision.load(Ordering::Relaxed);
-        if entry_revision > 0 && revision > entry_revision {
+    /// Triggers a new registration when this instance's entry is missing in a later state than its own.
+    pub fn notify_own_entry_missing(&self, position: StorePosition) {
+        if self.entry_position.lock().is_some_and(|own| position > own) {
             self.entry_missing.notify_one();
         }
     }
@@ -159,16 +245,19 @@
     wait_until_needed(&node).await;
     while node.phase() < Phase::Draining {
         match register(&node).await {
-            Ok((lease, revision)) => {
+            Ok((lease, position)) => {
                 failures = 0;
-                log::info!(lease = lease, instance = node.incarnation.instance.as_str(); "registered");
-                node.fleet.entry_revision.store(revision, Ordering::Relaxed);
+                log::info!(lease = lease.id, instance = node.incarnation.instance.as_str(); "registered");
+                *node.fleet.entry_position.lock() = Some(position);
                 tokio::select! {
                     () = keep_alive(&node, lease) => {}
                     () = node.fleet.entry_missing.notified() =>
-                        log::info!(lease = lease; "this instance's entry is gone"),
+                        log::info!(lease = lease.id; "this instance's entry is gone"),
+                }
+                *node.fleet.entry_position.lock() = None;
+                if node.kv.era() != position.era {
+                    tokio::time::sleep(REGISTRATION_SPREAD.mul_f64(rand::random())).await;
                 }
-                node.fleet.entry_revision.store(0, Ordering::Relaxed);
             }
             Err(e) => {
                 failures += 1;
@@ -188,7 +277,7 @@
     let class = node.settings.capacity_class();
     while node.settings.is_small() && node.phase() < Phase::Draining {
         let view = node.fleet.view();
-        let is_known = node.mirror.revision().is_some();
+        let is_known = node.mirror.position().is_some();
         let waited = node.clock.now().since(node.started_at);
         if !view.may_stand_by(&node.settings.region, class, zones) && (is_known || waited > MAX_STANDBY_WAIT)
         {
@@ -231,8 +320,8 @@
     }
 }
 
-// Writes the entry. Returns its lease and its revision in the store.
-async fn register(node: &SiteNode) -> StoreResult<(u64, u64)> {
+// Writes the entry. Returns its lease and the state of the store that it made.
+async fn register(node: &SiteNode) -> StoreResult<(Lease, StorePosition)> {
     // Set before the calls: one whose answer is lost may have registered.
     node.fleet.is_registered.store(true, Ordering::Relaxed);
     let lease = node.kv.grant_lease(lease_time(node)).await?;
@@ -248,10 +337,13 @@
         cores: node.settings.usable_cores(),
     };
     let value = serde_json::to_vec(&entry).unwrap_or_default();
-    let put = vec![(instance_key(&entry.id), value, lease)];
+    let put = vec![(instance_key(&entry.id), value, lease.id)];
     match node.kv.commit(&Transaction { put, ..Transaction::default() }).await? {
-        CommitOutcome::Applied(revision) => Ok((lease, revision)),
-        CommitOutcome::Conflict { .. } | CommitOutcome::LeaseEnded => {
+        // The id of a lease may have been given out again in a new era.
+        CommitOutcome::Applied(revision) if node.kv.era() == lease.era => {
+            Ok((lease, StorePosition { era: lease.era, revision }))
+        }
+        CommitOutcome::Applied(_) | CommitOutcome::Conflict { .. } | CommitOutcome::LeaseEnded => {
             Err(burdock_platform::store::StoreError::Conflict { version: 0 })
         }
     }
@@ -266,20 +358,24 @@
 }
 
 // Renews the lease. Returns when it has ended or this instance leaves.
-async fn keep_alive(node: &SiteNode, lease: u64) {
+async fn keep_alive(node: &SiteNode, lease: Lease) {
     loop {
         tokio::time::sleep(lease_time(node).mul_f64(RENEW_FRACTION)).await;
         if node.phase() >= Phase::Draining {
             return;
         }
-        match node.kv.renew_lease(lease).await {
-            Ok(true) => {}
+        match node.kv.renew_lease(lease.id).await {
+            Ok(true) if node.kv.era() == lease.era => {}
+            Ok(true) => {
+                log::warn!(lease = lease.id, era = lease.era; "the lease is of an earlier era of the store");
+                return;
+            }
             Ok(false) => {
-                log::warn!(lease = lease; "the lease has ended");
+                log::warn!(lease = lease.id; "the lease has ended");
                 return;
             }
             Err(e) => {
-                log::warn!(lease = lease; "renewal failed: {e}");
+                log::warn!(lease = lease.id; "renewal failed: {e}");
                 node.backends.record_store_outage(node.clock.now());
             }
         }
--- a/crates/burdock-node/src/site/metrics.rs
+++ b/crates/burdock-node/src/site/metrics.rs
@@ -57,6 +57,7 @@
         ("instances_listed", node.fleet.view().listed.len() as f64),
         ("store_calls", node.kv.budget().total_calls() as f64),
         ("store_age_s", store_age),
+        ("store_era", node.mirror.position().map_or(-1.0, |p| p.era as f64)),
         ("backends_slow", slow_backends as f64),
         ("slow_phase_ms", phase_length.as_secs_f64() * 1e3),
         ("log_lines_dropped", line_writer::dropped() as f64),
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -1,5 +1,5 @@
-//! This instance's mirror of the store, applied in the order of revisions from the store or from other
-//! instances, and relayed to others.
+//! This instance's mirror of the store, applied in the order of its eras and revisions from the store or from other
+//! instances, and relayed to others. It holds records of one era at a time.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -7,6 +7,7 @@
 
 pub use burdock_decide::relay::MAX_RELAY_AGE;
 use burdock_decide::time::Time;
+use burdock_model::store_position::StorePosition;
 use burdock_platform::kv::{Record, Records};
 use burdock_wire::messages::{StoreDelta, StoreRecord, decode_records, encode_records};
 use flate2::Compression;
@@ -44,7 +45,12 @@
 
 #[derive(Debug, Default)]
 struct State {
-    revision: Option<u64>,
+    // Up to here all changes are applied.
+    position: Option<StorePosition>,
+    // What was applied last, also while everything has to be read again.
+    last: Option<StorePosition>,
+    // The store came back from an older copy since this process started.
+    has_changed_era: bool,
     // Deletions up to this revision are not known.
     deletions_from: u64,
     deletion_count: usize,
@@ -67,10 +73,28 @@
 }
 
 impl StoreMirror {
-    /// Returns the revision up to which all changes are applied; `None` before the first read.
+    /// Returns the state of the store up to which all changes are applied; `None` before the first read.
     #[must_use]
-    pub fn revision(&self) -> Option<u64> {
-        self.state.lock().revision
+    pub fn position(&self) -> Option<StorePosition> {
+        self.state.lock().position
+    }
+
+    /// Returns whether the store came back from an older copy since this process started.
+    #[must_use]
+    pub fn has_changed_era(&self) -> bool {
+        self.state.lock().has_changed_era
+    }
+
+    /// Returns the message by which this instance asks another one for the changes that it lacks.
+    #[must_use]
+    pub fn query(&self) -> StoreDelta {
+        let position = self.position().unwrap_or_default();
+        StoreDelta {
+            revision: position.revision,
+            era: Some(position.era),
+            accepts_packed: true,
+            ..StoreDelta::default()
+        }
     }
 
     /// Returns the time of the store's newest confirmation of this state.
@@ -91,22 +115,28 @@
         self.confirmed_at().is_none_or(|at| now.since(at) >= HUB_QUERY_AGE)
     }
 
-    /// Replaces the state by all records of the store. `apply` runs under the lock, before any relay. Returns
-    /// `false` and changes nothing if this state is newer.
+    /// Replaces the state by all records of the store. `apply` runs under the lock, before any relay, with the records
+    /// and, if they are the first of a new era, the last state of the era before. Returns `false` and changes nothing
+    /// if this state is newer.
     pub fn apply_snapshot(
         &self,
         records: Records,
         confirmed_at: Time,
-        apply: impl FnOnce(&[Record]),
+        apply: impl FnOnce(&[Record], Option<StorePosition>),
     ) -> bool {
         let mut state = self.state.lock();
-        if state.revision.is_some_and(|known| known > records.revision) {
+        let position = records.position;
+        let is_of_earlier_era = state.last.is_some_and(|last| last.era > position.era);
+        if is_of_earlier_era || state.position.is_some_and(|known| known > position) {
             return false;
         }
-        apply(&records.records);
+        let before = state.last.filter(|last| last.era < position.era);
+        apply(&records.records, before);
         *state = State {
-            revision: Some(records.revision),
-            deletions_from: records.revision,
+            position: Some(position),
+            last: Some(position),
+            has_changed_era: state.has_changed_era || before.is_some(),
+            deletions_from: position.revision,
             confirmed_at: Some(confirmed_at),
             ..State::default()
         };
@@ -116,56 +146,68 @@
         true
     }
 
-    /// Applies a complete list of changes after revision `from`. Returns `false` when it would leave a gap.
+    /// Applies a complete list of changes after a state of the same era. Returns `false` when it would leave a gap.
     pub fn apply_changes(
         &self,
-        from: u64,
+        from: StorePosition,
         records: Records,
         confirmed_at: Time,
         apply: impl FnOnce(&[Record]),
     ) -> bool {
         let mut state = self.state.lock();
-        let Some(known) = state.revision.filter(|known| *known >= from) else {
+        let is_same_era = |known: &StorePosition| known.era == from.era && known.era == records.position.era;
+        let Some(known) = state.position.filter(is_same_era).filter(|known| *known >= from) else {
             return false;
         };
-        let new_records: Vec<Record> = records.records.into_iter().filter(|r| r.revision > known).collect();
+        let new_records: Vec<Record> =
+            records.records.into_iter().filter(|r| r.revision > known.revision).collect();
         apply(&new_records);
         for record in new_records {
             state.insert(record);
         }
-        let revision = known.max(records.revision);
-        if revision != known {
+        let position = known.max(records.position);
+        if position != known {
             state.packed_since.clear();
         }
-        state.revision = Some(revision);
+        state.position = Some(position);
+        state.last = Some(position);
         state.confirmed_at = state.confirmed_at.max(Some(confirmed_at));
         true
     }
 
-    /// Resets the revision, so that everything is read again.
+    /// Resets the position, so that everything is read again. What is of an earlier era is rejected as before.
     pub fn invalidate(&self) {
-        self.state.lock().revision = None;
+        self.state.lock().position = None;
     }
 
-    /// Returns the changes after a revision, for an instance that is at that revision, or all keys if some
+    /// Returns the changes after the state that an instance asks from, or all keys if it is of an earlier era or some
     /// deletions since then are no longer known. One that does not accept packed changes gets plain ones.
+    ///
+    /// An instance of an earlier version states no era, and would take a state with a lower revision for an older
+    /// one. It gets nothing once the era has changed, so that it asks the store.
     #[must_use]
-    pub fn changes_since(&self, revision: u64, accepts_packed: bool, now: Time) -> StoreDelta {
+    pub fn changes_since(&self, asked: &StoreDelta, now: Time) -> StoreDelta {
         let mut state = self.state.lock();
+        let StoreDelta { revision, accepts_packed, .. } = *asked;
+        let position = state.position.unwrap_or_default();
+        let asked_era = asked.era.or_else(|| (!state.has_changed_era).then_some(position.era));
         let age_ms = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX - 1);
         let delta = StoreDelta {
-            revision: state.revision.unwrap_or(0),
-            is_complete: state.revision.is_some(),
+            revision: position.revision,
+            era: Some(position.era),
+            is_complete: state.position.is_some() && asked_era.is_some_and(|era| era <= position.era),
             confirmed_age_ms: state.confirmed_at.map(age_ms),
             ..StoreDelta::default()
         };
-        if !delta.is_complete || revision >= delta.revision {
+        let is_same_era = asked_era == Some(position.era);
+        if !delta.is_complete || (is_same_era && revision >= delta.revision) {
             return delta;
         }
-        if revision < state.deletions_from && !accepts_packed {
+        let needs_snapshot = !is_same_era || revision < state.deletions_from;
+        if needs_snapshot && !accepts_packed {
             return StoreDelta { is_complete: false, ..delta };
         }
-        if revision < state.deletions_from {
+        if needs_snapshot {
             let snapshot = state.snapshot(delta.revision, now);
             return StoreDelta {
                 revision: snapshot.revision,
@@ -224,11 +266,11 @@
     }
 }
 
-/// Decompresses the records of another instance's delta.
+/// Decompresses the records of another instance's delta, whose records are of the given era.
 ///
 /// # Errors
 /// When a value can't be decompressed, or the records can't be decoded.
-pub fn unpack_records(delta: StoreDelta) -> std::io::Result<Records> {
+pub fn unpack_records(delta: StoreDelta, era: u64) -> std::io::Result<Records> {
     let changes = match delta.packed_changes {
         Some(packed) => {
             decode_records(&decompress(&packed, MAX_PACKED_BYTES)?).map_err(std::io::Error::other)?
@@ -236,7 +278,7 @@
         None => delta.changes,
     };
     let records = changes.into_iter().map(decompress_value).collect::<std::io::Result<_>>()?;
-    Ok(Records { records, revision: delta.revision })
+    Ok(Records { records, position: StorePosition { era, revision: delta.revision } })
 }
 
 fn pack(records: Vec<&StoreRecord>) -> Arc<[u8]> {
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -6,7 +6,7 @@
 
 use burdock_model::prelude::*;
 use burdock_model::site::{Organisation, allowance_weight};
-use burdock_wire::messages::{Hello, StoreDelta, TokenGrant, TokenRequest, TrafficReport};
+use burdock_wire::messages::{Hello, TokenGrant, TokenRequest, TrafficReport};
 use burdock_wire::server::{Handler, Handlers};
 use futures::FutureExt;
 
@@ -38,8 +38,8 @@
     let hello = hello(node);
     Handlers {
         report_traffic: handler(node, |node, report: TrafficReport| {
-            let (now, revision) = (node.clock.now(), report.store.revision);
-            let accepts_packed = report.store.accepts_packed;
+            let now = node.clock.now();
+            let asked = report.store.clone();
             node.quarantine.merge_strikes(&report.strikes, now);
             node.backends.merge_leaving(&report.leaving, now);
             let asks_for_plan = !report.is_from_hub && !report.service_demands.is_empty();
@@ -50,7 +50,7 @@
             if asks_for_plan {
                 (answer.splits, answer.service_demands) = plan::messages(node);
             }
-            answer.store = node.mirror.changes_since(revision, accepts_packed, now);
+            answer.store = node.mirror.changes_since(&asked, now);
             answer.strikes = node.quarantine.recent_strikes(now);
             answer.leaving = node.backends.recently_leaving(now);
             Ok(answer)
@@ -89,11 +89,7 @@
         weight: own_weight(node),
         demands: node.allowances.demands(now),
         in_flight: node.backends.in_flight(),
-        store: StoreDelta {
-            revision: node.mirror.revision().unwrap_or(0),
-            accepts_packed: true,
-            ..StoreDelta::default()
-        },
+        store: node.mirror.query(),
         strikes: node.quarantine.recent_strikes(now),
         leaving: node.backends.recently_leaving(now),
         slowness: node.backends.slowness(now),
@@ -102,7 +98,7 @@
         refusals: node.admission.refusals(now),
         ..TrafficReport::new(node.incarnation.instance.clone())
     };
-    let from = report.store.revision;
+    let from = report.store.position();
     let Some(hub) = node.hub.hub_of(node, &node.settings.region) else {
         let answer = node.hub.record_report(&node.incarnation.instance, report, now);
         node.backends.set_remote_load(&answer.in_flight, &answer.slowness);
@@ -146,9 +142,8 @@
         Some(async move {
             let now = node.clock.now();
             let mut summary = node.hub.summary(&node.incarnation.instance, now);
-            let from = node.mirror.revision().unwrap_or(0);
-            summary.store.revision = from;
-            summary.store.accepts_packed = true;
+            summary.store = node.mirror.query();
+            let from = summary.store.position();
             summary.strikes = node.quarantine.recent_strikes(now);
             summary.leaving = node.backends.recently_leaving(now);
             match node.peers.report_traffic(&hub, summary, REPORT_TIMEOUT).await {
--- a/crates/burdock-node/src/site/status.rs
+++ b/crates/burdock-node/src/site/status.rs
@@ -25,6 +25,7 @@
             "reason": r.reason.to_string(),
         })),
         "store_age_s": node.mirror.confirmed_at().map(|at| now.since(at).as_secs_f64()),
+        "store_position": node.mirror.position().map(|p| json!({ "era": p.era, "revision": p.revision })),
         "in_flight": node.in_flight(),
         "services": admission::pressures(node, now).iter().map(|(name, pressure)| {
             let figures = pressure.figures().map(|(figure, value)| (figure.to_owned(), json!(value)));
--- a/crates/burdock-node/src/site/sync.rs
+++ b/crates/burdock-node/src/site/sync.rs
@@ -12,6 +12,7 @@
 use burdock_model::ids::{BackendId, InstanceId, RegionName, ZoneName};
 use burdock_model::site::{SiteChange, SiteConfigIndex};
 use burdock_model::site_settings::is_small_class;
+use burdock_model::store_position::StorePosition;
 use burdock_platform::decode::{INSTANCE_PREFIX, decode_change, is_backend_entry, is_config, is_hedging};
 use burdock_platform::kv::{Record, Records, WatchOutcome};
 use burdock_platform::store::StoreResult;
@@ -70,7 +71,7 @@
             apply_time: node.settings.bounds.config_apply_time,
             spread,
         });
-        if !is_hub && source != ChangeSource::Store && node.mirror.revision().is_some() {
+        if !is_hub && source != ChangeSource::Store && node.mirror.position().is_some() {
             if let ChangeSource::Peers { time_left } = source {
                 query_peer(&node, time_left.min(PEER_QUERY_TIMEOUT)).await;
             }
@@ -78,7 +79,7 @@
             continue;
         }
         spread = rand::random();
-        let result = match node.mirror.revision() {
+        let result = match node.mirror.position() {
             None if node.settings.is_small() && wait_for_snapshot(&node).await => continue,
             None => read_all(&node).await,
             Some(after) => watch_changes(&node, after).await,
@@ -93,7 +94,7 @@
             }
             Err(e) => {
                 if failures == 0 {
-                    log::warn!(revision:? = node.mirror.revision(); "the store does not answer: {e}");
+                    log::warn!(revision:? = node.mirror.position().map(|p| p.revision); "the store does not answer: {e}");
                 }
                 failures += 1;
                 node.backends.record_store_outage(node.clock.now());
@@ -111,8 +112,8 @@
     let Some(peer) = (!peers.is_empty()).then(|| &peers[rand::random_range(0..peers.len())]) else {
         return;
     };
-    let (requested_at, from) = (node.clock.now(), node.mirror.revision().unwrap_or(0));
-    let store = StoreDelta { revision: from, accepts_packed: true, ..StoreDelta::default() };
+    let (requested_at, store) = (node.clock.now(), node.mirror.query());
+    let from = store.position();
     let query = TrafficReport { store, ..TrafficReport::new(node.incarnation.instance.clone()) };
     node.counters.add(Counter::PeerQueries);
     let answer = tokio::time::timeout(timeout, node.peers.report_traffic(peer, query, timeout)).await;
@@ -147,22 +148,26 @@
     peers
 }
 
-/// Applies the changes after revision `from` that a hub relayed in answer to a report sent at `requested_at`.
-pub fn apply_relayed(node: &SiteNode, delta: StoreDelta, requested_at: Time, from: u64) {
+/// Applies the changes after the state `from` that a hub relayed in answer to a report sent at `requested_at`.
+pub fn apply_relayed(node: &SiteNode, delta: StoreDelta, requested_at: Time, from: StorePosition) {
     let Some(age) = delta.confirmed_age_ms.filter(|_| delta.is_complete) else {
         return;
     };
+    // A hub of an earlier version states no era, and may mix records of two once there has been a second one.
+    let Some(era) = delta.era.or_else(|| (!node.mirror.has_changed_era()).then(|| node.kv.era())) else {
+        return;
+    };
     let confirmed_at = requested_at - Duration::from_millis(u64::from(age));
     let is_snapshot = delta.is_snapshot;
-    let records = match unpack_records(delta) {
+    let records = match unpack_records(delta, era) {
         Ok(records) => records,
         Err(e) => {
-            log::warn!(revision = from; "the hub relayed a value that can't be decompressed: {e}");
+            log::warn!(revision = from.revision; "the hub relayed a value that can't be decompressed: {e}");
             return;
         }
     };
     if !is_snapshot {
-        node.mirror.apply_changes(from, records, confirmed_at, |records| apply_records(node, records));
+        node.mirror.apply_changes(from, records, confirmed_at, |records| apply_records(node, records, era));
     } else if node.clock.now().since(confirmed_at) < MAX_RELAY_AGE {
         // An older one might bring back what another source has removed since.
         apply_all(node, records, confirmed_at);
@@ -176,7 +181,7 @@
     while node.clock.now().since(started_at) < MAX_SNAPSHOT_WAIT {
         // A stale list does, since the hub's own state is what counts.
         match node.kv.read_prefix(INSTANCE_PREFIX, true).await {
-            Ok(listed) => apply_records(node, &listed.records),
+            Ok(listed) => apply_records(node, &listed.records, listed.position.era),
             Err(e) => log::info!("the list of instances could not be read: {e}"),
         }
         let region = &node.settings.region;
@@ -186,7 +191,7 @@
         }
         for _ in 0..POLLS_PER_LIST {
             tokio::time::sleep(RELAY_POLL_INTERVAL).await;
-            if node.mirror.revision().is_some() {
+            if node.mirror.position().is_some() {
                 return true;
             }
         }
@@ -201,6 +206,7 @@
         tick.tick().await;
         let now = node.clock.now();
         node.backends.sweep(now);
+        node.backends.end_held_evacuations(&node.config.load(), now);
         node.fleet.sweep(now);
         plan::refresh(&node, now);
         node.quarantine.remove_stale(now);
@@ -214,43 +220,57 @@
     Ok(())
 }
 
-// Applies all keys of the store: what is not among them is gone.
+// Applies all keys of the store: what is not among them is gone. What is missing from the first read of a new era may
+// only be missing from the copy that the store came back from.
 fn apply_all(node: &SiteNode, all: Records, confirmed_at: Time) {
-    let revision = all.revision;
-    node.mirror.apply_snapshot(all, confirmed_at, |records| {
-        let mut listed = ListedEntries::default();
+    let position = all.position;
+    node.mirror.apply_snapshot(all, confirmed_at, |records, before| {
+        let now = node.clock.now();
+        if let Some(before) = before {
+            begin_era(node, before, position);
+        }
+        let mut listed = ListedEntries { is_from_copy: before.is_some(), ..ListedEntries::default() };
         for record in records {
-            apply_record(node, record, Some(&mut listed));
+            apply_record(node, record, position.era, Some(&mut listed));
         }
         if !records.iter().any(is_hedging) {
             apply_hedge_limits(node, None);
         }
-        let now = node.clock.now();
         node.backends.retain_listed(&listed.backends, &listed.evacuated, &node.config.load(), now);
-        for instance in &node.fleet.view().listed {
-            if !listed.instances.contains(&instance.id) {
-                node.fleet.apply_entry(&instance.id, None, now);
-            }
-        }
+        node.fleet.retain_listed(&listed.instances, before.is_some(), now);
         if !listed.instances.contains(&node.incarnation.instance) {
-            node.fleet.notify_own_entry_missing(revision);
+            node.fleet.notify_own_entry_missing(position);
         }
     });
     advance_if_published(node);
 }
 
-async fn watch_changes(node: &SiteNode, after: u64) -> StoreResult<()> {
+fn begin_era(node: &SiteNode, before: StorePosition, position: StorePosition) {
+    node.counters.add(Counter::StoreRestores);
+    log::warn!(
+        era = position.era, revision = position.revision,
+        era_before = before.era, revision_before = before.revision;
+        "the store came back from an older copy"
+    );
+    let now = node.clock.now();
+    node.backends.begin_era(now);
+    node.fleet.begin_era(position.era);
+}
+
+async fn watch_changes(node: &SiteNode, after: StorePosition) -> StoreResult<()> {
     let requested_at = node.clock.now();
     match node.kv.watch(ALL_KEYS, after, MAX_WATCH_WAIT).await? {
         WatchOutcome::HistoryCompacted => {
-            log::warn!(revision = after; "the store no longer has the changes since then; reading all");
+            log::warn!(revision = after.revision, era = after.era; "the store no longer has the changes since then; reading all");
             node.mirror.invalidate();
         }
         WatchOutcome::Changes(changes) => {
             let has_changes = !changes.records.is_empty();
             // The store answers without changes only after the whole wait.
             let confirmed_at = if has_changes { requested_at } else { requested_at + MAX_WATCH_WAIT };
-            node.mirror.apply_changes(after, changes, confirmed_at, |records| apply_records(node, records));
+            node.mirror.apply_changes(after, changes, confirmed_at, |records| {
+                apply_records(node, records, after.era);
+            });
             if has_changes {
                 tokio::time::sleep(BATCH_DELAY).await;
             }
@@ -259,11 +279,11 @@
     Ok(())
 }
 
-fn apply_records(node: &SiteNode, records: &[Record]) {
+fn apply_records(node: &SiteNode, records: &[Record], era: u64) {
     let missing = records.iter().filter(|r| r.value.is_none() && is_backend_entry(r)).count();
     node.backends.record_missing(missing, node.clock.now());
     for record in records {
-        apply_record(node, record, None);
+        apply_record(node, record, era, None);
     }
     node.backends.publish();
     advance_if_published(node);
@@ -277,12 +297,14 @@
 
 #[derive(Default)]
 struct ListedEntries {
+    // The first read of an era: entries may be those of the copy.
+    is_from_copy: bool,
     backends: BTreeSet<BackendId>,
     instances: BTreeSet<InstanceId>,
     evacuated: BTreeSet<ZoneName>,
 }
 
-fn apply_record(node: &SiteNode, record: &Record, listed: Option<&mut ListedEntries>) {
+fn apply_record(node: &SiteNode, record: &Record, era: u64, listed: Option<&mut ListedEntries>) {
     let on_invalid = |e: Error| {
         node.counters.add(Counter::EntriesInvalid);
         if node.invalid_entries.is_new(record) {
@@ -327,13 +349,18 @@
             }
         }
         SiteChange::Instance(id, entry) => {
+            let is_from_copy = listed.as_ref().is_some_and(|listed| listed.is_from_copy);
             if let (Some(listed), Some(_)) = (listed, &entry) {
                 listed.instances.insert(id.clone());
             }
             if entry.is_none() && id == node.incarnation.instance {
-                node.fleet.notify_own_entry_missing(record.revision);
+                node.fleet.notify_own_entry_missing(StorePosition { era, revision: record.revision });
+            }
+            match entry {
+                Some(entry) if is_from_copy => node.fleet.apply_copied_entry(entry, record.revision, now),
+                Some(_) if node.fleet.is_doubted(&id, record.revision) => {}
+                entry => node.fleet.apply_entry(&id, entry, now),
             }
-            node.fleet.apply_entry(&id, entry, now);
         }
         SiteChange::FleetSize(count) => node.fleet.set_recorded_size(count),
         SiteChange::FleetWeight(weight) => node.fleet.set_recorded_weight(weight),
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -27,6 +27,13 @@
 /// Time for which a backend server that is leaving is remembered, far above the time that one takes to leave.
 const LEAVING_TTL: Duration = Duration::from_mins(10);
 
+/// Time for which the last report of a removed backend server is kept, far above the age of a copy that the store
+/// comes back from.
+const DEPARTURE_TTL: Duration = Duration::from_mins(1);
+
+/// Maximum number of removed backend servers whose last reports are kept.
+const MAX_DEPARTURES: usize = 4096;
+
 /// Assumed round trip to another region until one is measured, in milliseconds.
 const INITIAL_REMOTE_ROUND_TRIP_MS: f64 = 40.0;
 
@@ -56,6 +63,12 @@
     // The processes of backend servers that said that they are leaving, by run hash, with the time at which the
     // first instance learned it. It outlives their entries, which may be written again late.
     leaving: HashMap<u64, Time>,
+    // Last reports of backend servers whose entries were removed, by which those of a copy of the store are told.
+    departures: HashMap<BackendId, Departure>,
+    // When the store last came back from an older copy.
+    restored_at: Option<Time>,
+    // Zones that were evacuated before that and that the copy does not list.
+    held_evacuations: BTreeSet<ZoneName>,
     is_loaded: bool,
     // The list of usable backend servers is out of date.
     is_changed: bool,
@@ -72,6 +85,13 @@
     missing_until: Option<Time>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_ms: u64,
+    sequence: u64,
+    at: Time,
+}
+
 /// Immutable list of the backend servers that may be used.
 #[derive(Debug, Default)]
 pub struct UsableBackends {
@@ -202,6 +222,7 @@
     /// Sets whether a zone is evacuated. When the evacuation ends, the zone's backend servers count as cold.
     pub fn set_evacuated(&self, config: &SiteConfigIndex, zone: &ZoneName, evacuated: bool, now: Time) {
         let mut state = self.state.lock();
+        state.held_evacuations.remove(zone);
         let changed =
             if evacuated { state.evacuated.insert(zone.clone()) } else { state.evacuated.remove(zone) };
         if !changed {
@@ -231,7 +252,9 @@
             remove(&mut state, id, now);
         }
         state.is_loaded = true;
-        let ended: Vec<ZoneName> = state.evacuated.difference(evacuated).cloned().collect();
+        let is_held = |zone: &ZoneName| state.held_evacuations.contains(zone);
+        let ended: Vec<ZoneName> =
+            state.evacuated.difference(evacuated).filter(|zone| !is_held(zone)).cloned().collect();
         state.is_changed = true;
         self.publish_changes(&mut state);
         drop(state);
@@ -240,6 +263,30 @@
         }
     }
 
+    /// Prepares for the first read after the store came back from an older copy. Revisions begin anew, and what the copy
+    /// lacks stays in force until it is written again, or for as long as that may take.
+    pub fn begin_era(&self, now: Time) {
+        let mut state = self.state.lock();
+        for entry in state.entries.values_mut() {
+            entry.revision = 0;
+        }
+        state.restored_at = Some(now);
+        state.lapsed_at = Some(now);
+        state.held_evacuations = state.evacuated.clone();
+    }
+
+    /// Ends the evacuations that a copy of the store did not list and that were not written again in time.
+    pub fn end_held_evacuations(&self, config: &SiteConfigIndex, now: Time) {
+        let ended = {
+            let mut state = self.state.lock();
+            let is_due = state.restored_at.is_some_and(|at| now.since(at) >= LAPSED_ENTRY_RETENTION);
+            if is_due { std::mem::take(&mut state.held_evacuations) } else { BTreeSet::new() }
+        };
+        for zone in &ended {
+            self.set_evacuated(config, zone, false, now);
+        }
+    }
+
     /// Records how many entries will be removed at once, which tells lapsed entries from removed ones.
     pub fn record_missing(&self, count: usize, now: Time) {
         record_missing(&mut self.state.lock(), count, now);
@@ -264,6 +311,7 @@
         });
         state.is_changed |= state.entries.len() != before;
         state.leaving.retain(|_, at| now.since(*at) < LEAVING_TTL);
+        state.departures.retain(|_, departure| now.since(departure.at) < DEPARTURE_TTL);
         self.publish_changes(&mut state);
         for entry in state.entries.values() {
             entry.backend.pool.close_stale();
@@ -370,6 +418,10 @@
             return;
         };
         let region = self.regions.iter().position(|r| r == region).unwrap_or(0);
+        if is_copy_of_departed(state, registered, now) {
+            log::info!(backend = registered.id.as_str(); "entry of a backend server that left since the copy skipped");
+            return;
+        }
         let known = state.entries.get_mut(&registered.id);
         let came_back = known.is_some();
         let is_outdated = |e: &Entry| e.backend.is_later_process(registered);
@@ -457,7 +509,23 @@
         return;
     }
     log::info!(backend = id.as_str(); "backend server gone");
+    let (started_ms, sequence) = (entry.backend.registered.started_ms, entry.sequence);
     state.entries.remove(id);
+    if state.departures.len() < MAX_DEPARTURES {
+        state.departures.insert(id.clone(), Departure { started_ms, sequence, at: now });
+    }
+}
+
+// After the store came back from a copy, an entry that says no more than the last report before its removal is the
+// copy's. A backend server that lives writes a later report.
+fn is_copy_of_departed(state: &State, registered: &RegisteredBackend, now: Time) -> bool {
+    let was_restored = state.restored_at.is_some_and(|at| now.since(at) < DEPARTURE_TTL);
+    let departure = state.departures.get(&registered.id).filter(|_| was_restored);
+    departure.is_some_and(|d| {
+        registered.started_ms > 0
+            && registered.started_ms == d.started_ms
+            && registered.sequence <= d.sequence
+    })
 }
 
 fn cold_time(config: &SiteConfigIndex, registered: &RegisteredBackend) -> Duration {
--- a/crates/burdock-node/tests/outage.rs
+++ b/crates/burdock-node/tests/outage.rs
@@ -66,3 +66,21 @@
     let e = make_change(node, &change_request(0)).await.unwrap_err();
     expect_that!(e.kind, eq(burdock_model::error::ErrorKind::Isolated));
 }
+
+// Guards against claims and changes on a store that has lost the newest ones.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_store_is_refused_while_requests_are_served() {
+    let demo = DemoSettings::default().instances(3).backends(3).start().await.unwrap();
+    let copy = demo.store.copy();
+    make_change(&demo.nodes[0].node, &change_request(1)).await.unwrap();
+    demo.store.restore(&copy);
+    tokio::time::sleep(LONG_OUTAGE).await;
+    for running in &demo.nodes {
+        let node = &running.node;
+        expect_that!(node.active_config.load().snapshot.tree.settings.retries, some(eq(1)));
+        expect_that!(node.fleet.contact(node.clock.now()).connectivity, eq(Connectivity::StoreOutage));
+        let refused = make_change(node, &change_request(2)).await.unwrap_err();
+        expect_that!(refused.to_string(), contains_substring("not in contact with the store"));
+    }
+}
--- a/crates/burdock-node/tests/soak/deployment.rs
+++ b/crates/burdock-node/tests/soak/deployment.rs
@@ -1,5 +1,6 @@
 //! Store, backend servers and instances of one run.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -10,7 +11,7 @@
 use burdock_standin::site::{
     HOST, SampleBackendEntry, SampleConfig, organisation, route, set_evacuation, settings,
 };
-use burdock_standin::store::{Fault as StoreFault, StoreStandin};
+use burdock_standin::store::{Fault as StoreFault, StoreCopy, StoreStandin};
 use bytes::Bytes;
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
@@ -53,6 +54,7 @@
     pub instances: Vec<Instance>,
     client: HttpClient,
     config: Mutex<PublishedConfig>,
+    evacuated: Mutex<BTreeSet<String>>,
     directory: PathBuf,
 }
 
@@ -63,6 +65,8 @@
     pub standin: BackendStandin,
     pub link: Link,
     incarnation: AtomicU64,
+    // Number of reports of this incarnation.
+    reports: AtomicU64,
     // `down`, or the state in its published entry.
     state: Mutex<&'static str>,
 }
@@ -113,7 +117,9 @@
         }
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
         let config = Mutex::new(PublishedConfig { version: 0, old_key_accepted: true });
-        let deployment = Self { store, backends, instances: prepared_instances, client, config, directory };
+        let evacuated = Mutex::default();
+        let deployment =
+            Self { store, backends, instances: prepared_instances, client, config, evacuated, directory };
         deployment.publish(|_| {});
         deployment.backends.iter().for_each(|b| b.publish(&deployment.store));
         deployment.instances.iter().for_each(Instance::start);
@@ -129,6 +135,10 @@
         let mut published = self.config.lock();
         change(&mut published.old_key_accepted);
         published.version += 1;
+        self.write_config(&published);
+    }
+
+    fn write_config(&self, published: &PublishedConfig) {
         let mut config = SampleConfig::new(published.version);
         for version in 1..=published.version {
             let name = format!("n{version}");
@@ -141,6 +151,31 @@
         config.publish(&self.store);
     }
 
+    /// Begins or ends the evacuation of a zone.
+    pub fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        let mut zones = self.evacuated.lock();
+        if evacuated {
+            zones.insert(zone.to_owned());
+        } else {
+            zones.remove(zone);
+        }
+        set_evacuation(&self.store, zone, evacuated);
+    }
+
+    /// Lets the store come back from a copy. The operator and the backend servers write again what they wrote since.
+    pub async fn restore_store(&self, copy: &StoreCopy) {
+        const REWRITE_DELAY: Duration = Duration::from_millis(200);
+        self.store.restore(copy);
+        tokio::time::sleep(REWRITE_DELAY).await;
+        self.write_config(&self.config.lock());
+        for zone in REGIONS.map(|region| format!("{region}-a")) {
+            let zones = self.evacuated.lock();
+            set_evacuation(&self.store, &zone, zones.contains(&zone));
+        }
+        let running = self.backends.iter().filter(|backend| *backend.state.lock() != "down");
+        running.for_each(|backend| backend.publish(&self.store));
+    }
+
     /// Returns the newest version and whether the old key is still accepted.
     pub fn published_config(&self) -> (u64, bool) {
         let published = self.config.lock();
@@ -156,8 +191,8 @@
             garbage: Some(false),
             ..StoreFault::default()
         });
-        for zone in REGIONS {
-            set_evacuation(&self.store, &format!("{zone}-a"), false);
+        for region in REGIONS {
+            self.set_evacuated(&format!("{region}-a"), false);
         }
         for backend in &self.backends {
             backend.standin.inject(BackendFault {
@@ -237,7 +272,8 @@
         let address = standin.serve(any_port, any_port).await.expect("a backend server serves").service;
         let zone = format!("{}-a", REGIONS[ix % REGIONS.len()]);
         let (incarnation, state) = (AtomicU64::new(1), Mutex::new("ready"));
-        Self { id, service, zone, standin, link: Link::start(address).await, incarnation, state }
+        let (link, reports) = (Link::start(address).await, AtomicU64::new(0));
+        Self { id, service, zone, standin, link, incarnation, reports, state }
     }
 
     pub fn publish(&self, store: &StoreStandin) {
@@ -250,7 +286,7 @@
             state: *self.state.lock(),
             cold_s: 0.0,
             started_ms: self.incarnation.load(Ordering::Relaxed),
-            sequence: 1,
+            sequence: self.reports.fetch_add(1, Ordering::Relaxed) + 1,
         };
         entry.publish(store);
     }
--- a/crates/burdock-node/tests/soak/faults.rs
+++ b/crates/burdock-node/tests/soak/faults.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use burdock_standin::backend::Fault as BackendFault;
-use burdock_standin::site::set_evacuation;
 use burdock_standin::store::Fault as StoreFault;
 use nix::sys::signal::Signal;
 use rand::RngExt;
@@ -51,6 +50,7 @@
     Evacuation,
     NewVersion,
     KeyWithdrawn,
+    StoreRestored,
 }
 
 /// Samples the faults of a scenario, in order of their start.
@@ -60,11 +60,19 @@
     loop {
         at += rng.random_range(Duration::ZERO..FAULT_INTERVAL * 2);
         if at >= scenario.fault_time {
-            return faults;
+            break;
         }
         let (duration, target) = (rng.random_range(FAULT_DURATION), rng.random_range(0..64));
         faults.push(Fault { at, duration, target, kind: sample_kind(rng) });
     }
+    // Sampled after the others, which stay the same for a seed.
+    faults.extend((0..scenario.restores).map(|_| Fault {
+        at: rng.random_range(Duration::ZERO..scenario.fault_time),
+        duration: rng.random_range(FAULT_DURATION),
+        target: 0,
+        kind: FaultKind::StoreRestored,
+    }));
+    faults
 }
 
 fn sample_kind(rng: &mut StdRng) -> FaultKind {
@@ -190,9 +198,16 @@
                 backend.restart(&deployment.store);
             }
             FaultKind::Evacuation => {
-                set_evacuation(&deployment.store, &backend.zone, true);
+                deployment.set_evacuated(&backend.zone, true);
                 tokio::time::sleep(self.duration).await;
-                set_evacuation(&deployment.store, &backend.zone, false);
+                deployment.set_evacuated(&backend.zone, false);
+            }
+            FaultKind::StoreRestored => {
+                let copy = deployment.store.copy();
+                tokio::time::sleep(self.duration).await;
+                inject(StoreFault { down_ms: Some(300), ..StoreFault::default() });
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                deployment.restore_store(&copy).await;
             }
             FaultKind::NewVersion => deployment.publish(|_| {}),
             FaultKind::KeyWithdrawn => deployment.publish(|old_key_accepted| *old_key_accepted = false),
--- a/crates/burdock-node/tests/soak/scenario.rs
+++ b/crates/burdock-node/tests/soak/scenario.rs
@@ -34,11 +34,13 @@
     pub callers: usize,
     /// How long faults are injected.
     pub fault_time: Duration,
+    /// How often the store comes back from an older copy meanwhile.
+    pub restores: usize,
 }
 
 impl Default for Scenario {
     fn default() -> Self {
-        Self { seed: 1, instances: 5, callers: 12, fault_time: Duration::from_secs(12) }
+        Self { seed: 1, instances: 5, callers: 12, fault_time: Duration::from_secs(12), restores: 0 }
     }
 }
 
--- a/crates/burdock-standin/src/store.rs
+++ b/crates/burdock-standin/src/store.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use axum::extract::{Path, Query, Request, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderName, HeaderValue, StatusCode};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
@@ -22,6 +22,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// Header of every answer that states the era of the store.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Largest accepted value in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
@@ -67,6 +70,15 @@
     pub writes: u64,
 }
 
+/// Contents of a store at one moment, from which it can be restored later.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    keys: BTreeMap<String, Entry>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+}
+
 /// Stand-in for the platform's store. Clones share its state.
 #[derive(Clone, Debug, Default)]
 pub struct StoreStandin {
@@ -81,6 +93,8 @@
 
 #[derive(Debug, Default)]
 struct StoreState {
+    // Number of restores from a copy.
+    era: u64,
     revision: u64,
     keys: BTreeMap<String, Entry>,
     history: Vec<Item>,
@@ -96,7 +110,7 @@
     calls: CallCounts,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     value: String,
     revision: u64,
@@ -188,6 +202,37 @@
         self.inner.state.lock().keys.keys().cloned().collect()
     }
 
+    /// Returns a copy of the present contents.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.inner.state.lock();
+        StoreCopy {
+            revision: state.revision,
+            keys: state.keys.clone(),
+            leases: state.leases.clone(),
+            next_lease: state.next_lease,
+        }
+    }
+
+    /// Restores the contents of a copy. Whatever was written since is gone, leases too; revisions are given out again,
+    /// and the era rises by one. The leases of the copy run on from now.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.inner.state.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.keys.clone_from(&copy.keys);
+        state.leases.clone_from(&copy.leases);
+        state.next_lease = copy.next_lease;
+        state.history.retain(|item| item.revision <= copy.revision);
+        state.compacted_revision = state.compacted_revision.min(copy.revision);
+        let now = Instant::now();
+        for lease in state.leases.values_mut() {
+            lease.expires_at = now + lease.ttl;
+        }
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
     /// Injects faults.
     pub fn inject(&self, fault: Fault) {
         let mut state = self.inner.state.lock();
@@ -225,7 +270,8 @@
             .route("/-/kv-lease", post(grant_lease))
             .route("/-/kv-keep/{id}", post(renew_lease))
             .route("/-/kv-lease-end/{id}", delete(end_lease))
-            .layer(from_fn_with_state(self.clone(), apply_faults));
+            .layer(from_fn_with_state(self.clone(), apply_faults))
+            .layer(from_fn_with_state(self.clone(), add_era));
         // The list of instances is a separate service of the platform, so the store's faults do not apply to
         // it.
         let list = Router::new().route("/v1/instances", get(list_instances).put(put_instances));
@@ -330,6 +376,14 @@
     Conflict(Vec<Item>),
 }
 
+// States the era in which the answer was made.
+async fn add_era(State(store): State<StoreStandin>, req: Request, next: Next) -> Response {
+    let mut answer = next.run(req).await;
+    let era = store.inner.state.lock().era;
+    answer.headers_mut().insert(STORE_ERA, HeaderValue::from(era));
+    answer
+}
+
 // Counts a call of the platform's interface and applies the faults to it. The control calls are exempt.
 async fn apply_faults(State(store): State<StoreStandin>, req: Request, next: Next) -> Response {
     let is_write = req.method() != axum::http::Method::GET;
@@ -397,7 +451,7 @@
         changed.as_mut().enable();
         let answer = {
             let state = store.inner.state.lock();
-            if query.after < state.compacted_revision {
+            if query.after < state.compacted_revision || query.after > state.revision {
                 return StatusCode::GONE.into_response();
             }
             EventsAnswer {
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -217,6 +217,8 @@
   paces @18 :List(StatedPace);
   # Requests a second that were refused for want of room, by service.
   refusals @19 :List(Tally);
+  # The era of the store that `revision` belongs to, plus one; 0 in messages of earlier versions.
+  storeEra @20 :UInt64;
 }
 
 struct StoreRecords {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -264,6 +264,7 @@
         to.set_age_ms(pace.age_ms);
     }
     to.set_revision(report.store.revision);
+    to.set_store_era(report.store.era.map_or(0, |era| era + 1));
     to.set_complete(report.store.is_complete);
     to.set_store_age_ms(report.store.confirmed_age_ms.unwrap_or(UNKNOWN_AGE_MS));
     to.set_snapshot(report.store.is_snapshot);
@@ -313,6 +314,7 @@
         is_from_hub: from.get_from_hub(),
         store: StoreDelta {
             revision: from.get_revision(),
+            era: from.get_store_era().checked_sub(1),
             changes: from.get_changes()?.iter().map(read_store_record).collect::<Result<_>>()?,
             packed_changes: Some(from.get_packed_changes()?).filter(|p| !p.is_empty()).map(Arc::from),
             is_complete: from.get_complete(),
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -6,6 +6,7 @@
 use burdock_model::error::{Error, ErrorKind};
 use burdock_model::fleet::{BackendLoad, Heartbeat, Split, Strike, Succession};
 use burdock_model::ids::{InstanceId, InstanceIncarnation, RegionName, Revision, ZoneName};
+use burdock_model::store_position::StorePosition;
 
 /// Version of the protocol. A session with a peer of another version fails at the hello.
 pub const PROTOCOL_VERSION: u16 = 1;
@@ -168,6 +169,8 @@
 pub struct StoreDelta {
     /// Revision of the store up to which the sender knows every change.
     pub revision: u64,
+    /// Era of the store that `revision` belongs to; `None` from earlier versions.
+    pub era: Option<u64>,
     /// Changes after the asker's revision.
     pub changes: Vec<StoreRecord>,
     /// Changes after the asker's revision as compressed bytes of [`encode_records`], instead of `changes`.
@@ -182,6 +185,14 @@
     pub confirmed_age_ms: Option<u32>,
 }
 
+impl StoreDelta {
+    /// Returns the state of the store that the sender is at, in era 0 if it states none.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        StorePosition { era: self.era.unwrap_or(0), revision: self.revision }
+    }
+}
+
 /// Last write of a key of the store: its value, or its deletion.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreRecord {
