--- a/crates/burdock-node/src/forward/pool.rs
+++ b/crates/burdock-node/src/forward/pool.rs
@@ -51,7 +51,7 @@
 }
 
 impl Connection {
-    /// Returns whether an answer to an earlier request came on the connection, so that a late copy of it may come, too.
+    /// Returns whether an answer to an earlier request came on the connection, so that a late copy of it may follow.
     #[must_use]
     pub const fn has_carried_answers(&self) -> bool {
         self.has_carried_answers
--- a/crates/burdock-node/src/site/attempt.rs
+++ b/crates/burdock-node/src/site/attempt.rs
@@ -218,9 +218,9 @@
         }
     }
 
-    // Returns a failure if the answer has no valid status, belongs to another request, the backend server refused the request
-    // without running it, or a success does not carry the backend server's seal. `may_be_late` says that it may be an
-    // answer to an earlier request if it has no id.
+    // Returns a failure if the answer has no valid status or belongs to another request, the backend server refused
+    // the request without running it, or a success does not carry the backend server's seal. `may_be_late` says that
+    // an answer without an id may be one to an earlier request.
     fn check_head(&self, resp: &Response<Incoming>, may_be_late: bool) -> Option<AttemptFailure> {
         if !is_final_status(resp.status().as_u16()) {
             return Some(self.invalid_answer_failure(&format!("answered with the status {}", resp.status())));
--- a/crates/burdock-node/src/site/caller_body.rs
+++ b/crates/burdock-node/src/site/caller_body.rs
@@ -54,8 +54,8 @@
     /// Reads and drops the rest of a refused body while the refusal is sent, so that the connection can serve the
     /// requests behind it. The connection closes if the rest is long or late.
     pub fn discard(self) {
-        let is_long = |body: &Incoming| body.size_hint().exact().is_some_and(|b| b > MAX_DISCARDED_BYTES);
-        if !is_long(&self.incoming) {
+        let is_long = self.incoming.size_hint().exact().is_some_and(|bytes| bytes > MAX_DISCARDED_BYTES);
+        if !is_long {
             tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, self.read_rest()));
         }
     }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -67,7 +67,7 @@
     departures: HashMap<BackendId, Departure>,
     // When the store last came back from an older copy.
     restored_at: Option<Time>,
-    // Zones that were evacuated before that and that the copy does not list.
+    // Zones that were evacuated before that and that were not written again since.
     held_evacuations: BTreeSet<ZoneName>,
     is_loaded: bool,
     // The list of usable backend servers is out of date.
