--- a/review/standins-3/stop_beside_pipelining.rs
+++ b/review/standins-3/stop_beside_pipelining.rs
@@ -1,5 +1,6 @@
 //! A process gets SIGTERM while clients send further idempotent requests behind one whose answer is 300,000 bytes
-//! long. The answer is whole at the process, which closes the connection behind it.
+//! long. The answer is whole at the process, which closes the connection behind it. The first request of every other
+//! client may run only once.
 
 use std::io::Write;
 use std::net::TcpStream;
@@ -33,7 +34,7 @@
 pub fn run(record: &Record, is_disrupted: bool) -> std::io::Result<Option<String>> {
     let dir = TempDir::create()?;
     let store = Store::start()?;
-    store.publish("op/config", &manifest(7, &[("reads", "/read/", "idempotent", 6), ("puts", "/put/", "idempotent", 6)]));
+    store.publish("op/config", &manifest(7, &[("reads", "/read/", "idempotent", 6), ("puts", "/put/", "idempotent", 6), ("commands", "/cmd/", "non_idempotent", 6)]));
     let runs = Runs::default();
     let behaviour = Behaviour { work: Duration::from_millis(100), broken_after: None };
     for nth in 1..=4 {
@@ -96,9 +97,10 @@
 fn serve_client(mut stream: TcpStream, nth: usize, record: &Record) -> Answer {
     let id = format!("long-{nth}");
     let mut answer = Answer { id: id.clone(), received: 0, end: String::new() };
-    let path = format!("/read/{ANSWER_BYTES}");
-    record.line(&format!("client {nth} sends GET {path} as {id}, and PUT /put/20 behind it"));
-    let sent = stream.write_all(&request("GET", &path, &id, DEADLINE_MS, None));
+    let (method, route, body) = if nth % 2 == 0 { ("GET", "read", None) } else { ("POST", "cmd", Some(&[][..])) };
+    let path = format!("/{route}/{ANSWER_BYTES}");
+    record.line(&format!("client {nth} sends {method} {path} as {id}, and PUT /put/20 behind it"));
+    let sent = stream.write_all(&request(method, &path, &id, DEADLINE_MS, body));
     let writing = stream.try_clone().map(|mut stream| {
         let body = vec![b'b'; PIPELINED_BODY_BYTES];
         let pipelined = request("PUT", "/put/20", &format!("behind-{nth}"), DEADLINE_MS, Some(&body));
