--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/review-3/standins steady-slow-reader "$here/record.txt"
+exec target/review-3/standins late-report "$here/record.txt"
--- a/review/standins-3/base.rs
+++ b/review/standins-3/base.rs
@@ -213,28 +213,6 @@
         stream.read_to_end(&mut text)?;
         Ok(text.starts_with(b"HTTP/1.1 200"))
     }
-
-    /// Sends SIGTERM to the process.
-    pub fn terminate(&self) {
-        unsafe extern "C" {
-            fn kill(pid: i32, signal: i32) -> i32;
-        }
-        const SIGTERM: i32 = 15;
-        // The process is a child that was not waited for, so the id is its own.
-        let _ = unsafe { kill(self.child.id() as i32, SIGTERM) };
-    }
-
-    /// Waits until the process has ended, up to a time. Returns whether it has.
-    pub fn wait(&mut self, timeout: Duration) -> bool {
-        let end = Instant::now() + timeout;
-        while Instant::now() < end {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        false
-    }
 }
 
 impl Drop for Node {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,9 +4,9 @@
 mod base;
 mod break_before_others;
 mod json;
+mod late_report;
 mod platform;
 mod steady_slow_reader;
-mod stop_beside_pipelining;
 mod upstream;
 
 use std::path::Path;
@@ -33,7 +33,7 @@
     let (name, in_run) = (name.clone(), record.clone());
     std::thread::spawn(move || {
         let result = match name.as_str() {
-            "stop-beside-pipelining" => stop_beside_pipelining::run(&in_run, is_disrupted),
+            "late-report" => late_report::run(&in_run, is_disrupted),
             "break-before-others" => break_before_others::run(&in_run, is_disrupted),
             "steady-slow-reader" => steady_slow_reader::run(&in_run, is_disrupted),
             _ => Err(std::io::Error::other("there is no such script")),
--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::base::{HOST, Head, now_ms, read_message};
+use crate::base::{HOST, Head, read_message};
 use crate::json;
 
 #[derive(Clone)]
@@ -26,6 +26,17 @@
     next_lease: u64,
 }
 
+/// A report of an upstream that is ready.
+pub struct Entry<'a> {
+    pub id: &'a str,
+    pub service: &'a str,
+    pub address: SocketAddr,
+    pub slots: u32,
+    /// Unix time of its start in milliseconds.
+    pub born: u64,
+    pub sequence: u64,
+}
+
 /// The platform's store. Clones share its state.
 #[derive(Clone)]
 pub struct Store {
@@ -63,15 +74,22 @@
         changed.notify_all();
     }
 
-    /// Writes the entry of an upstream that is ready.
-    pub fn register(&self, id: &str, service: &str, address: SocketAddr, slots: u32) {
-        let entry = format!(
-            "{{\"address\":\"{address}\",\"born\":{},\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\
-             \"zone\":\"riga-a\",\"slots\":{slots}}},\"status\":{{\"state\":\"ready\",\"sequence\":1,\
-             \"warmup_left_s\":0}}}}",
-            now_ms()
+    /// Writes the entry of an upstream that is ready, as its report has it.
+    pub fn register(&self, entry: &Entry) {
+        let Entry { id, service, address, slots, born, sequence } = entry;
+        let text = format!(
+            "{{\"address\":\"{address}\",\"born\":{born},\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\
+             \"zone\":\"riga-a\",\"slots\":{slots}}},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\
+             \"warmup_left_s\":0}}}}"
         );
-        self.publish(&format!("servers/{id}"), &entry);
+        self.publish(&format!("servers/{id}"), &text);
+    }
+
+    /// Removes the entry of an upstream that has left.
+    pub fn unregister(&self, id: &str) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().remove(&format!("servers/{id}"));
+        changed.notify_all();
     }
 
     fn expire(&self) {
--- a/review/standins-3/steady_slow_reader.rs
+++ b/review/standins-3/steady_slow_reader.rs
@@ -1,5 +1,5 @@
 //! Clients read a long answer slowly and without a pause, within their time budget. The answer was whole at the
-//! process at once.
+//! process at once. Every other request may run only once.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -30,7 +30,7 @@
 pub fn run(record: &Record, is_disrupted: bool) -> std::io::Result<Option<String>> {
     let dir = TempDir::create()?;
     let store = Store::start()?;
-    store.publish("op/config", &manifest(7, &[("reads", "/read/", "idempotent", TIMEOUT_S)]));
+    store.publish("op/config", &manifest(7, &[("reads", "/read/", "idempotent", TIMEOUT_S), ("commands", "/cmd/", "non_idempotent", TIMEOUT_S)]));
     let runs = Runs::default();
     for nth in 1..=4 {
         let behaviour = Behaviour { work: Duration::from_millis(30), broken_after: None };
@@ -74,8 +74,10 @@
 
 fn read_answer(stream: &mut TcpStream, nth: usize, is_slow: bool, record: &Record) -> (usize, String) {
     let (id, started_at) = (format!("long-{nth}"), Instant::now());
-    record.line(&format!("client {nth} sends GET /read/{ANSWER_BYTES} as {id} with {DEADLINE_MS} ms"));
-    if let Err(e) = stream.write_all(&request("GET", &format!("/read/{ANSWER_BYTES}"), &id, DEADLINE_MS, None)) {
+    let (method, route, body) = if nth % 2 == 0 { ("GET", "read", None) } else { ("POST", "cmd", Some(&[][..])) };
+    let path = format!("/{route}/{ANSWER_BYTES}");
+    record.line(&format!("client {nth} sends {method} {path} as {id} with {DEADLINE_MS} ms"));
+    if let Err(e) = stream.write_all(&request(method, &path, &id, DEADLINE_MS, body)) {
         return (0, e.to_string());
     }
     let (mut buf, mut has_head) = (Vec::new(), false);
--- a/review/standins-3/upstream.rs
+++ b/review/standins-3/upstream.rs
@@ -3,10 +3,10 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::base::{Head, Record, answer_head, read_message};
-use crate::platform::Store;
+use crate::base::{Head, Record, answer_head, now_ms, read_message};
+use crate::platform::{Entry, Store};
 
 /// How an upstream treats the requests that reach it.
 #[derive(Clone, Copy)]
@@ -24,6 +24,8 @@
     pub upstream: String,
     /// Whether the whole answer was written.
     pub is_answered: bool,
+    /// When the request arrived.
+    pub arrived_at: Instant,
 }
 
 /// All requests that ran, in the order of their ends.
@@ -40,7 +42,7 @@
             std::thread::spawn(move || serve(stream, &name, behaviour, &runs, &record));
         }
     });
-    store.register(id, "a", address, 24);
+    store.register(&Entry { id, service: "a", address, slots: 24, born: now_ms(), sequence: 1 });
     Ok(address)
 }
 
@@ -52,11 +54,12 @@
             let _ = stream.write_all(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
+        let arrived_at = Instant::now();
         record.line(&format!("{name} runs {} {}", head.id(), head.path()));
         std::thread::sleep(behaviour.work);
         let (is_answered, is_open) = answer(&mut stream, &head, behaviour);
         record.line(&format!("{name} ends {}: answer {}", head.id(), if is_answered { "written" } else { "broken off" }));
-        runs.lock().unwrap().push(Run { id: head.id().to_owned(), upstream: name.to_owned(), is_answered });
+        runs.lock().unwrap().push(Run { id: head.id().to_owned(), upstream: name.to_owned(), is_answered, arrived_at });
         if !is_open {
             return;
         }
