Skip reports of backend servers from before their removal

Cause: reports were compared with the entry that the table holds, so that after a removal nothing was left to compare with. The last reports of removed backend servers were kept, but used only after a restore of the store. Entries that lapsed in an outage left no trace, and a late report of an earlier process was skipped only while its successor's entry was there.

Change: each way on which an entry leaves the table records the last report, and a report from before it is skipped for a minute. It works because the number of a report rises with each one of a process, and the start tells processes apart. Log lines of registrations and removals state the number of the report.

Ruled out: relays between instances (a single instance shows it), the lapse of entries (the store was up). `burdockd run` has no reports.

--- a/crates/burdock-decide/src/lib.rs
+++ b/crates/burdock-decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 pub mod connectivity;
 pub mod deadline;
+pub mod departure;
 pub mod directory;
 pub mod entries;
 pub mod headers;
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use burdock_decide::body_memory::{read_buffer_bytes, receive_buffer_bytes};
+use burdock_decide::departure::Departure;
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{RegisteredBackend, SiteConfigIndex};
@@ -28,7 +29,7 @@
 const LEAVING_TTL: Duration = Duration::from_mins(10);
 
 /// Time for which the last report of a removed backend server is kept, far above the age of a copy that the store
-/// comes back from.
+/// comes back from and the delay with which the store may execute a report.
 const DEPARTURE_TTL: Duration = Duration::from_mins(1);
 
 /// Maximum number of removed backend servers whose last reports are kept.
@@ -63,7 +64,8 @@
     // The processes of backend servers that said that they are leaving, by run hash, with the time at which the
     // first instance learned it. It outlives their entries, which may be written again late.
     leaving: HashMap<u64, Time>,
-    // Last reports of backend servers whose entries were removed, by which those of a copy of the store are told.
+    // Last reports of backend servers whose entries were removed, by which reports that the store executes late, and
+    // those of a copy of the store, are told.
     departures: HashMap<BackendId, Departure>,
     // When the store last came back from an older copy.
     restored_at: Option<Time>,
@@ -85,13 +87,6 @@
     missing_until: Option<Time>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    started_ms: u64,
-    sequence: u64,
-    at: Time,
-}
-
 /// Immutable list of the backend servers that may be used.
 #[derive(Debug, Default)]
 pub struct UsableBackends {
@@ -302,10 +297,12 @@
     pub fn sweep(&self, now: Time) {
         let mut state = self.state.lock();
         let before = state.entries.len();
-        state.entries.retain(|id, entry| {
+        let State { entries, departures, .. } = &mut *state;
+        entries.retain(|id, entry| {
             let gone = entry.missing_until.is_some_and(|until| now >= until);
             if gone {
                 log::info!(backend = id.as_str(); "backend server gone: its lapsed entry did not come back");
+                record_departure(departures, id, entry, now);
             }
             !gone
         });
@@ -418,8 +415,14 @@
             return;
         };
         let region = self.regions.iter().position(|r| r == region).unwrap_or(0);
-        if is_copy_of_departed(state, registered, now) {
-            log::info!(backend = registered.id.as_str(); "entry of a backend server that left since the copy skipped");
+        let departure = state.departures.get(&registered.id).filter(|d| now.since(d.at) < DEPARTURE_TTL);
+        if let Some(departure) = departure.filter(|d| d.precludes(registered.started_ms, registered.sequence))
+        {
+            log::info!(
+                backend = registered.id.as_str(), revision = revision,
+                sequence = registered.sequence, last_sequence = departure.sequence;
+                "report of a backend server from before its removal skipped"
+            );
             return;
         }
         let known = state.entries.get_mut(&registered.id);
@@ -456,7 +459,8 @@
         backend.mark_cold(cold.max(registered.remaining_cold_time), now);
         if state.is_loaded {
             log::info!(backend = registered.id.as_str(), service = registered.service.as_str(),
-                zone = registered.zone.as_str(), again = came_back; "backend server registered");
+                zone = registered.zone.as_str(), again = came_back, sequence = registered.sequence;
+                "backend server registered");
         }
         if state.leaving.contains_key(&backend.run_hash()) {
             backend.mark_leaving();
@@ -508,24 +512,21 @@
         entry.missing_until.get_or_insert(now + LAPSED_ENTRY_RETENTION);
         return;
     }
-    log::info!(backend = id.as_str(); "backend server gone");
-    let (started_ms, sequence) = (entry.backend.registered.started_ms, entry.sequence);
+    log::info!(backend = id.as_str(), sequence = entry.sequence; "backend server gone");
+    record_departure(&mut state.departures, id, entry, now);
     state.entries.remove(id);
-    if state.departures.len() < MAX_DEPARTURES {
-        state.departures.insert(id.clone(), Departure { started_ms, sequence, at: now });
-    }
 }
 
-// After the store came back from a copy, an entry that says no more than the last report before its removal is the
-// copy's. A backend server that lives writes a later report.
-fn is_copy_of_departed(state: &State, registered: &RegisteredBackend, now: Time) -> bool {
-    let was_restored = state.restored_at.is_some_and(|at| now.since(at) < DEPARTURE_TTL);
-    let departure = state.departures.get(&registered.id).filter(|_| was_restored);
-    departure.is_some_and(|d| {
-        registered.started_ms > 0
-            && registered.started_ms == d.started_ms
-            && registered.sequence <= d.sequence
-    })
+fn record_departure(
+    departures: &mut HashMap<BackendId, Departure>,
+    id: &BackendId,
+    entry: &Entry,
+    now: Time,
+) {
+    if departures.len() < MAX_DEPARTURES || departures.contains_key(id) {
+        let started_ms = entry.backend.registered.started_ms;
+        departures.insert(id.clone(), Departure { started_ms, sequence: entry.sequence, at: now });
+    }
 }
 
 fn cold_time(config: &SiteConfigIndex, registered: &RegisteredBackend) -> Duration {
