Check backend servers whose entries come back before they are used

A backend server that had left, or crashed, got requests again.

Cause and evidence: the platform's page says that an entry changes only when more than `sequence` changes. On the same path a removal and the report after it looked like an update where both came with one relay, and an instance that started in between took the entry for a new one.

Change: within 7 s of a removal (6 s at most until the store executes a call, and relays) a later report of the same process is used once a status check confirms it, or once its entry has stayed longer than a late report keeps it. Relays keep the removal before an entry that follows. `burdock_backends_status_checks` counts the checks.

--- a/crates/burdock-decide/src/departure.rs
+++ b/crates/burdock-decide/src/departure.rs
@@ -1,10 +1,22 @@
 //! Reports of backend servers whose entries were removed.
 //!
 //! The store may execute a report seconds after it was sent. By then the backend server may have left and its entry
-//! may be gone, and the late report writes the entry again.
+//! may be gone, and the late report writes the entry again. A backend server whose reports were lost for a while comes
+//! back in the same way.
+
+use std::time::Duration;
 
 use crate::time::Time;
 
+/// Maximum time from a report being sent to an instance learning that the store executed it.
+pub const MAX_REPORT_DELAY: Duration = Duration::from_secs(7);
+
+/// Report intervals of silence after which an entry is removed.
+const INTERVALS_TO_REMOVAL: u32 = 3;
+
+/// Time that an entry may outlive its backend server's last report beyond [`INTERVALS_TO_REMOVAL`].
+const REMOVAL_SLACK: Duration = Duration::from_secs(1);
+
 /// Last report of a backend server before its entry was removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
@@ -16,22 +28,56 @@
     pub at: Time,
 }
 
+/// What a report after the removal of an entry says of the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReturnVerdict {
+    /// It was made before the removal and says nothing.
+    Outdated,
+    /// It may have been made before the removal. The backend server is alive if a status check confirms it, or if its
+    /// entry is still there at this time.
+    Unconfirmed {
+        /// Time by which the entry of a backend server that has left is removed again.
+        until: Time,
+    },
+    /// It was made after the removal, or by another process.
+    Alive,
+}
+
 impl Departure {
-    /// Returns whether a report was made before the removal: by an earlier process, or by the same one and not after
-    /// its last known report.
+    /// Judges a report of which this instance learns at `now`. `report_interval` is the time between two reports.
+    ///
+    /// The entry does not change with the number of the report alone, so that the last known number may be far below
+    /// that of the last report.
     ///
     /// ```
-    /// use burdock_decide::departure::Departure;
+    /// use burdock_decide::departure::{Departure, MAX_REPORT_DELAY, ReturnVerdict};
     /// use burdock_decide::time::Time;
+    /// use std::time::Duration;
     /// let departure = Departure { started_ms: 1000, sequence: 11, at: Time(0) };
-    /// assert!(departure.precludes(1000, 10) && departure.precludes(900, 20));
-    /// assert!(!departure.precludes(1000, 12) && !departure.precludes(2000, 1));
+    /// let judge = |started_ms, sequence, now| departure.judge(started_ms, sequence, Duration::from_secs(1), now);
+    /// assert_eq!(judge(1000, 11, Time(1)), ReturnVerdict::Outdated);
+    /// assert!(matches!(judge(1000, 12, Time(1)), ReturnVerdict::Unconfirmed { .. }));
+    /// assert_eq!(judge(1000, 12, Time(0) + MAX_REPORT_DELAY), ReturnVerdict::Alive);
+    /// assert_eq!(judge(2000, 1, Time(1)), ReturnVerdict::Alive);
     /// ```
     #[must_use]
-    pub const fn precludes(&self, started_ms: u64, sequence: u64) -> bool {
-        if started_ms == 0 || self.started_ms == 0 {
-            return false;
+    pub fn judge(
+        &self,
+        started_ms: u64,
+        sequence: u64,
+        report_interval: Duration,
+        now: Time,
+    ) -> ReturnVerdict {
+        if started_ms == 0 || self.started_ms == 0 || started_ms > self.started_ms {
+            return ReturnVerdict::Alive;
+        }
+        if started_ms < self.started_ms || sequence <= self.sequence {
+            return ReturnVerdict::Outdated;
+        }
+        if now.since(self.at) >= MAX_REPORT_DELAY {
+            return ReturnVerdict::Alive;
         }
-        started_ms < self.started_ms || (started_ms == self.started_ms && sequence <= self.sequence)
+        let until = self.at + MAX_REPORT_DELAY + report_interval * INTERVALS_TO_REMOVAL + REMOVAL_SLACK;
+        ReturnVerdict::Unconfirmed { until }
     }
 }
--- a/crates/burdock-model/src/site.rs
+++ b/crates/burdock-model/src/site.rs
@@ -74,6 +74,8 @@
     pub cold_time: Duration,
     /// Requests per second that a cold backend server can take.
     pub cold_rate: f64,
+    /// Path of the status check of a backend server, if there is one.
+    pub status_path: Option<String>,
 }
 
 /// Organisation with its keys and its quota.
--- a/crates/burdock-model/src/site_settings.rs
+++ b/crates/burdock-model/src/site_settings.rs
@@ -76,6 +76,8 @@
     pub cold_overshoot: f64,
     /// Maximum time that callers may cache an answer of the directory.
     pub directory_ttl: Duration,
+    /// Interval at which backend servers report to the store. An entry is removed after three of them in silence.
+    pub report_interval: Duration,
 }
 
 impl Default for Bounds {
@@ -91,6 +93,7 @@
             cold_slack: 5.0,
             cold_overshoot: 1.5,
             directory_ttl: Duration::from_secs(5),
+            report_interval: Duration::from_millis(1500),
         }
     }
 }
--- a/crates/burdock-model/tests/site_check.rs
+++ b/crates/burdock-model/tests/site_check.rs
@@ -26,7 +26,7 @@
 
 fn service(name: &str) -> Service {
     let name = ServiceName::new(name).unwrap();
-    Service { name, max_connections: 9, cold_time: Duration::ZERO, cold_rate: 0.0 }
+    Service { name, max_connections: 9, cold_time: Duration::ZERO, cold_rate: 0.0, status_path: None }
 }
 
 fn organisation(name: &str) -> Organisation {
--- a/crates/burdock-node/src/observe/counters.rs
+++ b/crates/burdock-node/src/observe/counters.rs
@@ -82,6 +82,8 @@
     CallersHalfClosed => "connections.half_closed",
     /// Times that the store came back from an older copy.
     StoreRestores => "store.restores",
+    /// Status checks of backend servers whose entries came back.
+    StatusChecks => "backends.status_checks",
     /// Calls to other instances for changes of the store.
     PeerQueries => "store.peer_queries",
     /// Steering answers sent.
--- a/crates/burdock-node/src/site/backend.rs
+++ b/crates/burdock-node/src/site/backend.rs
@@ -100,7 +100,7 @@
         Self {
             pool: Pool::new(registered.address),
             hash: name_hash(registered.id.as_str()),
-            run_hash: stable_hash(registered.id.as_str().as_bytes(), registered.started_ms),
+            run_hash: run_hash(&registered.id, registered.started_ms),
             is_leaving: AtomicBool::new(false),
             region,
             in_flight: AtomicU32::new(0),
@@ -365,6 +365,12 @@
     }
 }
 
+/// Returns the hash of a backend server's id and of the start of its process, which names one run of it.
+#[must_use]
+pub fn run_hash(id: &BackendId, started_ms: u64) -> u64 {
+    stable_hash(id.as_str().as_bytes(), started_ms)
+}
+
 /// Guard that counts a request as in flight at a backend server.
 #[derive(Debug)]
 pub struct InFlight {
--- a/crates/burdock-node/src/site/mirror.rs
+++ b/crates/burdock-node/src/site/mirror.rs
@@ -8,6 +8,7 @@
 pub use burdock_decide::relay::MAX_RELAY_AGE;
 use burdock_decide::time::Time;
 use burdock_model::store_position::StorePosition;
+use burdock_platform::decode::is_backend_entry;
 use burdock_platform::kv::{Record, Records};
 use burdock_wire::messages::{StoreDelta, StoreRecord, decode_records, encode_records};
 use flate2::Compression;
@@ -54,7 +55,8 @@
     // Deletions up to this revision are not known.
     deletions_from: u64,
     deletion_count: usize,
-    // The newest change of each key, by revision.
+    // The newest change of each key, by revision, and before it the last deletion of a backend server's entry that was
+    // written again, since who learns only of the write takes it for a report of a live backend server.
     changes: BTreeMap<(u64, Arc<str>), StoreRecord>,
     revisions: HashMap<Arc<str>, u64>,
     confirmed_at: Option<Time>,
@@ -232,8 +234,13 @@
     fn insert(&mut self, record: Record) {
         let key: Arc<str> = Arc::from(record.key.as_str());
         if let Some(before) = self.revisions.insert(Arc::clone(&key), record.revision) {
-            let replaced = self.changes.remove(&(before, Arc::clone(&key)));
-            self.deletion_count -= usize::from(replaced.is_some_and(|r| r.value.is_none()));
+            let replaced = (before, Arc::clone(&key));
+            let is_deletion = self.changes.get(&replaced).is_some_and(|r| r.value.is_none());
+            let is_return = is_deletion && record.value.is_some() && is_backend_entry(&record);
+            if !is_return {
+                self.changes.remove(&replaced);
+                self.deletion_count -= usize::from(is_deletion);
+            }
         }
         self.deletion_count += usize::from(record.value.is_none());
         self.changes.insert((record.revision, key), compress_value(record));
@@ -245,7 +252,9 @@
     fn forget_oldest_deletion(&mut self) {
         let oldest = self.changes.iter().find(|(_, record)| record.value.is_none()).map(|(at, _)| at.clone());
         if let Some((revision, key)) = oldest {
-            self.revisions.remove(&key);
+            if self.revisions.get(&key) == Some(&revision) {
+                self.revisions.remove(&key);
+            }
             self.changes.remove(&(revision, key));
             self.deletions_from = self.deletions_from.max(revision);
         }
--- a/crates/burdock-node/src/site/report.rs
+++ b/crates/burdock-node/src/site/report.rs
@@ -42,6 +42,7 @@
             let asked = report.store.clone();
             node.quarantine.merge_strikes(&report.strikes, now);
             node.backends.merge_leaving(&report.leaving, now);
+            node.backends.merge_confirmed(&report.confirmed, now);
             let asks_for_plan = !report.is_from_hub && !report.service_demands.is_empty();
             if report.is_from_hub {
                 plan::record_region_demand(node, &report.sender, &report.service_demands);
@@ -53,6 +54,7 @@
             answer.store = node.mirror.changes_since(&asked, now);
             answer.strikes = node.quarantine.recent_strikes(now);
             answer.leaving = node.backends.recently_leaving(now);
+            answer.confirmed = node.backends.recently_confirmed(now);
             Ok(answer)
         }),
         request_tokens: handler(node, |node, request: TokenRequest| Ok(grant_tokens(node, &request))),
@@ -92,6 +94,7 @@
         store: node.mirror.query(),
         strikes: node.quarantine.recent_strikes(now),
         leaving: node.backends.recently_leaving(now),
+        confirmed: node.backends.recently_confirmed(now),
         slowness: node.backends.slowness(now),
         service_demands: node.plans.demands(now),
         paces: node.backends.paces(now),
@@ -119,6 +122,7 @@
             node.admission.set_remote_refusals(&answer.refusals, node.clock.now());
             node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
             node.backends.merge_leaving(&answer.leaving, node.clock.now());
+            node.backends.merge_confirmed(&answer.confirmed, node.clock.now());
             plan::record_answer(node, &answer, node.clock.now());
             sync::apply_relayed(node, answer.store, now, from);
         }
@@ -146,10 +150,12 @@
             let from = summary.store.position();
             summary.strikes = node.quarantine.recent_strikes(now);
             summary.leaving = node.backends.recently_leaving(now);
+            summary.confirmed = node.backends.recently_confirmed(now);
             match node.peers.report_traffic(&hub, summary, REPORT_TIMEOUT).await {
                 Ok(mut answer) => {
                     node.quarantine.merge_strikes(&answer.strikes, node.clock.now());
                     node.backends.merge_leaving(&answer.leaving, node.clock.now());
+                    node.backends.merge_confirmed(&answer.confirmed, node.clock.now());
                     sync::apply_relayed(node, std::mem::take(&mut answer.store), now, from);
                     plan::record_region_demand(node, &answer.sender, &answer.service_demands);
                     node.hub.record_hub_answer(answer, node.clock.now());
--- a/crates/burdock-node/src/site/start.rs
+++ b/crates/burdock-node/src/site/start.rs
@@ -20,7 +20,7 @@
 use crate::phase::Phase;
 use crate::shutdown::StopSignals;
 use crate::site::serve::{FIRST_REQUEST_WAIT, serve_callers, serve_directory, serve_metrics};
-use crate::site::{SiteNode, fleet, report, sync};
+use crate::site::{SiteNode, fleet, report, status_check, sync};
 use crate::start::new_incarnation;
 
 /// Fraction of the stop timeout after which new requests are refused as not run and idle connections close.
@@ -81,6 +81,7 @@
         tokio::spawn(supervise(Arc::clone(&node), fleet::register_loop)),
         tokio::spawn(supervise(Arc::clone(&node), sync::follow_loop)),
         tokio::spawn(supervise(Arc::clone(&node), sync::sweep_loop)),
+        tokio::spawn(supervise(Arc::clone(&node), status_check::check_loop)),
         tokio::spawn(burdock_wire::server::serve(peer_listener, node.peers.clone(), report::handlers(&node))),
         tokio::spawn(supervise(Arc::clone(&node), report::report_loop)),
     ];
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -6,16 +6,17 @@
 
 use arc_swap::ArcSwap;
 use burdock_decide::body_memory::{read_buffer_bytes, receive_buffer_bytes};
-use burdock_decide::departure::Departure;
+use burdock_decide::departure::ReturnVerdict;
 use burdock_decide::time::Time;
 use burdock_model::prelude::*;
 use burdock_model::site::{RegisteredBackend, SiteConfigIndex};
 use burdock_model::site_settings::SiteSettings;
-use burdock_wire::messages::{HashedAmount, LeavingRun, StatedPace};
+use burdock_wire::messages::{ConfirmedRun, HashedAmount, LeavingRun, StatedPace};
 use parking_lot::Mutex;
 
 use crate::site::backend::Backend;
 use crate::site::pace::LearnedPhases;
+use crate::site::returns::{Returns, Unconfirmed};
 
 /// Time for which a backend server stays in use after its entry lapsed in an outage of the store. Live
 /// backend servers register again within about two seconds of the outage's end.
@@ -28,13 +29,6 @@
 /// Time for which a backend server that is leaving is remembered, far above the time that one takes to leave.
 const LEAVING_TTL: Duration = Duration::from_mins(10);
 
-/// Time for which the last report of a removed backend server is kept, far above the age of a copy that the store
-/// comes back from and the delay with which the store may execute a report.
-const DEPARTURE_TTL: Duration = Duration::from_mins(1);
-
-/// Maximum number of removed backend servers whose last reports are kept.
-const MAX_DEPARTURES: usize = 4096;
-
 /// Assumed round trip to another region until one is measured, in milliseconds.
 const INITIAL_REMOTE_ROUND_TRIP_MS: f64 = 40.0;
 
@@ -47,6 +41,7 @@
     regions: Vec<RegionName>,
     own_region: usize,
     memory_bytes: u64,
+    report_interval: Duration,
     zones: BTreeMap<ZoneName, RegionName>,
     state: Mutex<State>,
     usable: ArcSwap<UsableBackends>,
@@ -64,14 +59,12 @@
     // The processes of backend servers that said that they are leaving, by run hash, with the time at which the
     // first instance learned it. It outlives their entries, which may be written again late.
     leaving: HashMap<u64, Time>,
-    // Last reports of backend servers whose entries were removed, by which reports that the store executes late, and
-    // those of a copy of the store, are told.
-    departures: HashMap<BackendId, Departure>,
+    // By it, reports that the store executes late and those of a copy of the store are told from others.
+    returns: Returns,
     // When the store last came back from an older copy.
     restored_at: Option<Time>,
     // Zones that were evacuated before that and that were not written again since.
     held_evacuations: BTreeSet<ZoneName>,
-    is_loaded: bool,
     // The list of usable backend servers is out of date.
     is_changed: bool,
 }
@@ -85,6 +78,8 @@
     sequence: u64,
     // The entry is missing, and the backend server stays in use until then.
     missing_until: Option<Time>,
+    // The entry came back after its removal, and the backend server may have left.
+    unconfirmed: Option<Unconfirmed>,
 }
 
 /// Immutable list of the backend servers that may be used.
@@ -105,6 +100,7 @@
             regions,
             own_region,
             memory_bytes: settings.memory_bytes,
+            report_interval: settings.bounds.report_interval,
             zones: settings.regions.clone(),
             state: Mutex::default(),
             usable: ArcSwap::default(),
@@ -214,6 +210,50 @@
         self.publish_changes(&mut state);
     }
 
+    /// Returns the backend servers whose entries came back after their removal and that are due for a status check,
+    /// with the revision of the entry.
+    #[must_use]
+    pub fn take_due_checks(&self, now: Time) -> Vec<(Arc<Backend>, u64)> {
+        let mut state = self.state.lock();
+        let State { entries, evacuated, .. } = &mut *state;
+        let is_used = |e: &Entry| !is_leaving(e) && !evacuated.contains(&e.backend.registered.zone);
+        let waiting = entries.values_mut().filter(|e| is_used(e));
+        let due = waiting.filter_map(|e| {
+            let revision = e.unconfirmed.as_mut()?.take_due_check(now)?;
+            Some((Arc::clone(&e.backend), revision))
+        });
+        due.collect()
+    }
+
+    /// Records that a status check found a run of a backend server alive, after its entry of `revision` had been
+    /// written.
+    pub fn record_confirmed(&self, run_hash: u64, revision: u64, now: Time) {
+        let mut state = self.state.lock();
+        state.returns.record_confirmed(run_hash, revision, now);
+        let State { entries, is_changed, .. } = &mut *state;
+        for entry in entries.values_mut().filter(|e| e.backend.run_hash() == run_hash) {
+            if entry.unconfirmed.take_if(|u| revision >= u.revision).is_some() {
+                log::info!(backend = entry.backend.registered.id.as_str(); "return of a backend server confirmed");
+                *is_changed = true;
+            }
+        }
+        self.publish_changes(&mut state);
+    }
+
+    /// Returns the backend servers whose return any instance confirmed recently.
+    #[must_use]
+    pub fn recently_confirmed(&self, now: Time) -> Vec<ConfirmedRun> {
+        self.state.lock().returns.recently_confirmed(now)
+    }
+
+    /// Merges what another instance learned of backend servers whose entries came back.
+    pub fn merge_confirmed(&self, runs: &[ConfirmedRun], now: Time) {
+        for run in runs {
+            let at = now - Duration::from_millis(u64::from(run.age_ms));
+            self.record_confirmed(run.run_hash, run.revision, at);
+        }
+    }
+
     /// Sets whether a zone is evacuated. When the evacuation ends, the zone's backend servers count as cold.
     pub fn set_evacuated(&self, config: &SiteConfigIndex, zone: &ZoneName, evacuated: bool, now: Time) {
         let mut state = self.state.lock();
@@ -246,7 +286,7 @@
         for id in &missing {
             remove(&mut state, id, now);
         }
-        state.is_loaded = true;
+        state.returns.record_load(now);
         let is_held = |zone: &ZoneName| state.held_evacuations.contains(zone);
         let ended: Vec<ZoneName> =
             state.evacuated.difference(evacuated).filter(|zone| !is_held(zone)).cloned().collect();
@@ -264,10 +304,14 @@
         let mut state = self.state.lock();
         for entry in state.entries.values_mut() {
             entry.revision = 0;
+            if let Some(unconfirmed) = &mut entry.unconfirmed {
+                unconfirmed.revision = 0;
+            }
         }
         state.restored_at = Some(now);
         state.lapsed_at = Some(now);
         state.held_evacuations = state.evacuated.clone();
+        state.returns.begin_era();
     }
 
     /// Ends the evacuations that a copy of the store did not list and that were not written again in time.
@@ -297,18 +341,26 @@
     pub fn sweep(&self, now: Time) {
         let mut state = self.state.lock();
         let before = state.entries.len();
-        let State { entries, departures, .. } = &mut *state;
+        let State { entries, returns, .. } = &mut *state;
         entries.retain(|id, entry| {
             let gone = entry.missing_until.is_some_and(|until| now >= until);
             if gone {
                 log::info!(backend = id.as_str(); "backend server gone: its lapsed entry did not come back");
-                record_departure(departures, id, entry, now);
+                returns.record_departure(&entry.backend.registered, entry.sequence, now);
             }
             !gone
         });
         state.is_changed |= state.entries.len() != before;
         state.leaving.retain(|_, at| now.since(*at) < LEAVING_TTL);
-        state.departures.retain(|_, departure| now.since(departure.at) < DEPARTURE_TTL);
+        state.returns.remove_stale(now);
+        let State { entries, is_changed, .. } = &mut *state;
+        for entry in entries.values_mut() {
+            if entry.unconfirmed.take_if(|u| now >= u.until).is_some() {
+                log::info!(backend = entry.backend.registered.id.as_str();
+                    "backend server used again: its entry stayed after its return");
+                *is_changed = true;
+            }
+        }
         self.publish_changes(&mut state);
         for entry in state.entries.values() {
             entry.backend.pool.close_stale();
@@ -415,16 +467,6 @@
             return;
         };
         let region = self.regions.iter().position(|r| r == region).unwrap_or(0);
-        let departure = state.departures.get(&registered.id).filter(|d| now.since(d.at) < DEPARTURE_TTL);
-        if let Some(departure) = departure.filter(|d| d.precludes(registered.started_ms, registered.sequence))
-        {
-            log::info!(
-                backend = registered.id.as_str(), revision = revision,
-                sequence = registered.sequence, last_sequence = departure.sequence;
-                "report of a backend server from before its removal skipped"
-            );
-            return;
-        }
         let known = state.entries.get_mut(&registered.id);
         let came_back = known.is_some();
         let is_outdated = |e: &Entry| e.backend.is_later_process(registered);
@@ -450,6 +492,24 @@
             }
             return;
         }
+        let verdict = if came_back {
+            ReturnVerdict::Alive
+        } else {
+            state.returns.judge(registered, revision, self.report_interval, now)
+        };
+        let unconfirmed = match verdict {
+            ReturnVerdict::Outdated => {
+                log::info!(backend = registered.id.as_str(), revision = revision, sequence = registered.sequence;
+                    "report of a backend server from before its removal skipped");
+                return;
+            }
+            ReturnVerdict::Unconfirmed { until } => {
+                log::info!(backend = registered.id.as_str(), revision = revision, sequence = registered.sequence;
+                    "entry of a backend server came back; it waits for a status check");
+                Some(Unconfirmed { revision, until, next_check_at: now })
+            }
+            ReturnVerdict::Alive => None,
+        };
         let backend = Arc::new(Backend::new(registered.clone(), region, Arc::clone(&self.phases), now));
         backend.pool.set_max_buffer(read_buffer_bytes(self.memory_bytes));
         if let Some(bytes) = receive_buffer_bytes(self.memory_bytes).filter(|_| self.is_local(&backend)) {
@@ -457,7 +517,7 @@
         }
         let cold = if came_back { cold_time(config, registered) } else { Duration::ZERO };
         backend.mark_cold(cold.max(registered.remaining_cold_time), now);
-        if state.is_loaded {
+        if state.returns.is_loaded() {
             log::info!(backend = registered.id.as_str(), service = registered.service.as_str(),
                 zone = registered.zone.as_str(), again = came_back, sequence = registered.sequence;
                 "backend server registered");
@@ -471,6 +531,7 @@
             revision,
             sequence: registered.sequence,
             missing_until: None,
+            unconfirmed,
         };
         state.entries.insert(registered.id.clone(), entry);
     }
@@ -482,8 +543,8 @@
         let mut services: HashMap<ServiceName, Vec<Arc<Backend>>> = HashMap::new();
         for entry in state.entries.values() {
             let registered = &entry.backend.registered;
-            let is_leaving = entry.draining || entry.backend.is_leaving();
-            if is_leaving || state.evacuated.contains(&registered.zone) {
+            if is_leaving(entry) || entry.unconfirmed.is_some() || state.evacuated.contains(&registered.zone)
+            {
                 continue;
             }
             services.entry(registered.service.clone()).or_default().push(Arc::clone(&entry.backend));
@@ -513,20 +574,12 @@
         return;
     }
     log::info!(backend = id.as_str(), sequence = entry.sequence; "backend server gone");
-    record_departure(&mut state.departures, id, entry, now);
+    state.returns.record_departure(&entry.backend.registered, entry.sequence, now);
     state.entries.remove(id);
 }
 
-fn record_departure(
-    departures: &mut HashMap<BackendId, Departure>,
-    id: &BackendId,
-    entry: &Entry,
-    now: Time,
-) {
-    if departures.len() < MAX_DEPARTURES || departures.contains_key(id) {
-        let started_ms = entry.backend.registered.started_ms;
-        departures.insert(id.clone(), Departure { started_ms, sequence: entry.sequence, at: now });
-    }
+fn is_leaving(entry: &Entry) -> bool {
+    entry.draining || entry.backend.is_leaving()
 }
 
 fn cold_time(config: &SiteConfigIndex, registered: &RegisteredBackend) -> Duration {
--- a/crates/burdock-node/tests/mirror.rs
+++ b/crates/burdock-node/tests/mirror.rs
@@ -197,3 +197,29 @@
     let same_era = StoreDelta { era: None, ..asked(5, true) };
     expect_that!(mirror_at(5).changes_since(&same_era, now).is_complete, eq(true));
 }
+
+// Guards against an instance that learns of an entry that was written again, and not of the removal before it.
+#[gtest]
+fn removal_of_a_backend_entry_is_relayed_with_the_entry_that_follows() {
+    let deletion = |key: &str, revision| Record { key: key.to_owned(), value: None, revision };
+    let mirror = mirror_at(5);
+    let records = vec![
+        record("servers/a", b"1", 6),
+        deletion("servers/a", 7),
+        record("servers/a", b"2", 8),
+        record("op/b", b"1", 9),
+        deletion("op/b", 10),
+        record("op/b", b"2", 11),
+    ];
+    apply_changes(&mirror, 5, records, 11);
+    let relayed = |from| {
+        let changes = mirror.changes_since(&asked(from, false), Time::from_millis(2000)).changes;
+        changes.into_iter().map(|r| (r.key, r.revision)).collect::<Vec<_>>()
+    };
+    let (a, b) = ("servers/a".to_owned(), "op/b".to_owned());
+    expect_that!(relayed(5), eq(&vec![(a.clone(), 7), (a.clone(), 8), (b.clone(), 11)]));
+    expect_that!(relayed(7), eq(&vec![(a.clone(), 8), (b, 11)]));
+    // A second removal replaces the entry, and the first one stays known.
+    apply_changes(&mirror, 11, vec![deletion("servers/a", 12)], 12);
+    expect_that!(relayed(11), eq(&vec![(a, 12)]));
+}
--- a/crates/burdock-standin/src/backend.rs
+++ b/crates/burdock-standin/src/backend.rs
@@ -286,7 +286,11 @@
             slots: self.inner.slots,
         };
         let status = if state.fault.unhealthy == Some(true) { 500 } else { 200 };
-        json_response(status, &report)
+        let mut resp = json_response(status, &report);
+        if let Ok(id) = http::HeaderValue::from_str(&self.inner.name) {
+            resp.headers_mut().insert(Dialect::platform().backend_id, id);
+        }
+        resp
     }
 
     fn try_admit(&self) -> Option<InFlight> {
--- a/crates/burdock-wire/schema/peer.capnp
+++ b/crates/burdock-wire/schema/peer.capnp
@@ -159,6 +159,16 @@
   ageMs @1 :UInt32;
 }
 
+# One run of a backend server's process, which a status check found alive after its entry had come back.
+struct ConfirmedRun {
+  # Hash of its id and its start.
+  run @0 :UInt64;
+  # The store's revision of the entry that was checked.
+  revision @1 :UInt64;
+  # How long ago the check was made.
+  ageMs @2 :UInt32;
+}
+
 # How requests for a service are divided over regions.
 struct ServiceSplit {
   # Hash of the service's name.
@@ -219,6 +229,8 @@
   refusals @19 :List(Tally);
   # The era of the store that `revision` belongs to, plus one; 0 in messages of earlier versions.
   storeEra @20 :UInt64;
+  # Backend servers that a status check lately found alive.
+  confirmed @21 :List(ConfirmedRun);
 }
 
 struct StoreRecords {
--- a/crates/burdock-wire/src/convert.rs
+++ b/crates/burdock-wire/src/convert.rs
@@ -12,9 +12,9 @@
 use capnp::{Error as WireError, text};
 
 use crate::messages::{
-    BufferedResponse, Configuration, Exchange, HandoverRecord, HashedAmount, Hello, LeavingRun, Loan,
-    MAX_MESSAGE_BYTES, PROTOCOL_VERSION, RelayedRequest, ServiceSplit, ShareBucket, StatedPace, StoreDelta,
-    StoreRecord, TrafficReport,
+    BufferedResponse, Configuration, ConfirmedRun, Exchange, HandoverRecord, HashedAmount, Hello, LeavingRun,
+    Loan, MAX_MESSAGE_BYTES, PROTOCOL_VERSION, RelayedRequest, ServiceSplit, ShareBucket, StatedPace,
+    StoreDelta, StoreRecord, TrafficReport,
 };
 use crate::peer_capnp as wire;
 
@@ -245,6 +245,13 @@
         to.set_run(run.run_hash);
         to.set_age_ms(run.age_ms);
     }
+    let mut confirmed = to.reborrow().init_confirmed(list_len(&report.confirmed));
+    for (ix, run) in (0..).zip(&report.confirmed) {
+        let mut to = confirmed.reborrow().get(ix);
+        to.set_run(run.run_hash);
+        to.set_revision(run.revision);
+        to.set_age_ms(run.age_ms);
+    }
     write_amounts(
         &report.service_demands,
         to.reborrow().init_service_demands(list_len(&report.service_demands)),
@@ -324,6 +331,7 @@
         },
         strikes: from.get_strikes()?.iter().map(read_strike).collect::<Result<_>>()?,
         leaving: from.get_leaving()?.iter().map(read_leaving_run).collect(),
+        confirmed: from.get_confirmed()?.iter().map(read_confirmed_run).collect(),
         slowness: from.get_slowness()?.iter().map(read_amount).collect(),
         service_demands: from.get_service_demands()?.iter().map(read_amount).collect(),
         splits: from.get_splits()?.iter().map(read_service_split).collect::<Result<_>>()?,
@@ -345,6 +353,10 @@
     LeavingRun { run_hash: from.get_run(), age_ms: from.get_age_ms() }
 }
 
+fn read_confirmed_run(from: wire::confirmed_run::Reader<'_>) -> ConfirmedRun {
+    ConfirmedRun { run_hash: from.get_run(), revision: from.get_revision(), age_ms: from.get_age_ms() }
+}
+
 fn read_store_record(from: wire::store_record::Reader<'_>) -> Result<StoreRecord> {
     Ok(StoreRecord {
         key: read_string(from.get_key()?)?,
--- a/crates/burdock-wire/src/messages.rs
+++ b/crates/burdock-wire/src/messages.rs
@@ -91,6 +91,8 @@
     pub strikes: Vec<Strike>,
     /// Backend servers that said recently that they are leaving.
     pub leaving: Vec<LeavingRun>,
+    /// Backend servers that a status check recently found alive after their entries had come back.
+    pub confirmed: Vec<ConfirmedRun>,
     /// Measured service time at each slow backend server relative to the usual one; in a hub's answer, as
     /// measured by all other instances.
     pub slowness: Vec<HashedAmount>,
@@ -126,6 +128,7 @@
             store: StoreDelta::default(),
             strikes: Vec::new(),
             leaving: Vec::new(),
+            confirmed: Vec::new(),
             slowness: Vec::new(),
             service_demands: Vec::new(),
             splits: Vec::new(),
@@ -164,6 +167,17 @@
     pub age_ms: u32,
 }
 
+/// One run of a backend server's process that a status check found alive after its entry had come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfirmedRun {
+    /// Hash of the backend server's id and of its start.
+    pub run_hash: u64,
+    /// Store revision of the entry that was checked.
+    pub revision: u64,
+    /// Milliseconds since the check.
+    pub age_ms: u32,
+}
+
 /// State of the store at the sender, and in an answer the changes after the asker's revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreDelta {
