Let the store of the soak execute reports late, and let a backend server leave

Change: `late_reports` of a scenario. Reports made at one moment are executed 0.3 to 5 s later, beside all other faults.

--- a/crates/burdock-node/benches/soak.rs
+++ b/crates/burdock-node/benches/soak.rs
@@ -43,6 +43,9 @@
     /// How often the store of each run comes back from an older copy.
     #[bpaf(fallback(0))]
     restores: usize,
+    /// How many reports of backend servers the store of each run executes late.
+    #[bpaf(fallback(0))]
+    late_reports: usize,
     /// Number of runs at the same time.
     #[bpaf(fallback(3))]
     jobs: usize,
@@ -70,6 +73,7 @@
         instances: options.processes,
         fault_time: Duration::from_secs(options.seconds),
         restores: options.restores,
+        late_reports: options.late_reports,
         ..Scenario::default()
     });
     let mut outcomes = futures::stream::iter(scenarios)
--- a/crates/burdock-node/tests/soak/checks.rs
+++ b/crates/burdock-node/tests/soak/checks.rs
@@ -138,11 +138,11 @@
     violations
 }
 
-/// Checks that no new request reaches a draining backend server after the bound.
-pub fn check_backend_drain(deployment: &Deployment, since: Instant) -> Vec<String> {
+/// Checks that no new request reaches a backend server after the bound that was draining or gone from `since` on.
+pub fn check_backend_drain(deployment: &Deployment, ix: usize, since: Instant) -> Vec<String> {
     let bound = SystemTime::now() - since.elapsed() + MAX_DRAIN_TIME;
     let bound_us =
         bound.duration_since(UNIX_EPOCH).map_or(0, |d| u64::try_from(d.as_micros()).unwrap_or(u64::MAX));
-    let late = deployment.backends[0].standin.log().into_iter().filter(|r| r.start_us > bound_us);
+    let late = deployment.backends[ix].standin.log().into_iter().filter(|r| r.start_us > bound_us);
     late.map(|r| format!("a request reached a backend server after its drain: {r:?}")).collect()
 }
--- a/crates/burdock-node/tests/soak/deployment.rs
+++ b/crates/burdock-node/tests/soak/deployment.rs
@@ -9,7 +9,8 @@
 
 use burdock_standin::backend::{BackendStandin, Fault as BackendFault, LoggedRequest};
 use burdock_standin::site::{
-    HOST, SampleBackendEntry, SampleConfig, organisation, route, set_evacuation, settings,
+    HOST, SampleBackendEntry, SampleConfig, organisation, remove_backend_entry, route, set_evacuation,
+    settings,
 };
 use burdock_standin::store::{Fault as StoreFault, StoreCopy, StoreStandin};
 use bytes::Bytes;
@@ -39,7 +40,7 @@
 pub const BUSY_ORGANISATION: (&str, f64, f64) = ("mill", 10.0, 10.0);
 
 const SLOTS_PER_BACKEND: u32 = 6;
-const BACKENDS_PER_SERVICE: usize = 4;
+pub const BACKENDS_PER_SERVICE: usize = 4;
 const PORTS_PER_INSTANCE: u16 = 4;
 const REGIONS: [&str; 3] = ["riga", "jelgava", "daugavpils"];
 
@@ -172,7 +173,7 @@
             let zones = self.evacuated.lock();
             set_evacuation(&self.store, &zone, zones.contains(&zone));
         }
-        let running = self.backends.iter().filter(|backend| *backend.state.lock() != "down");
+        let running = self.backends.iter().filter(|backend| backend.is_running());
         running.for_each(|backend| backend.publish(&self.store));
     }
 
@@ -242,6 +243,16 @@
         self.backends[ix].publish(&self.store);
     }
 
+    /// Lets a backend server leave: its entry is removed, its status checks fail, and it serves what reaches it. Returns
+    /// a report that it sent before.
+    pub fn remove_backend(&self, ix: usize) -> SampleBackendEntry<'_> {
+        let backend = &self.backends[ix];
+        let report = backend.next_report();
+        backend.standin.inject(BackendFault { unhealthy: Some(true), ..BackendFault::default() });
+        remove_backend_entry(&self.store, &backend.id);
+        report
+    }
+
     /// Stops an instance by the signal of a planned stop and returns its exit code.
     pub async fn stop_gracefully(&self, ix: usize) -> Option<i32> {
         let mut process = self.instances[ix].process.lock().take()?;
@@ -277,7 +288,17 @@
     }
 
     pub fn publish(&self, store: &StoreStandin) {
-        let entry = SampleBackendEntry {
+        self.next_report().publish(store);
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_running(&self) -> bool {
+        *self.state.lock() != "down"
+    }
+
+    /// Makes the next report without sending it.
+    pub fn next_report(&self) -> SampleBackendEntry<'_> {
+        SampleBackendEntry {
             id: &self.id,
             service: self.service,
             address: self.link.address,
@@ -287,8 +308,7 @@
             cold_s: 0.0,
             started_ms: self.incarnation.load(Ordering::Relaxed),
             sequence: self.reports.fetch_add(1, Ordering::Relaxed) + 1,
-        };
-        entry.publish(store);
+        }
     }
 
     /// Stops without publishing a state.
--- a/crates/burdock-node/tests/soak/faults.rs
+++ b/crates/burdock-node/tests/soak/faults.rs
@@ -20,6 +20,9 @@
 /// Range of the duration of a fault.
 const FAULT_DURATION: std::ops::Range<Duration> = Duration::from_millis(300)..Duration::from_millis(5000);
 
+/// Time from a backend server's report to the next one.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// One fault of a series.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
@@ -51,6 +54,7 @@
     NewVersion,
     KeyWithdrawn,
     StoreRestored,
+    LateReport,
 }
 
 /// Samples the faults of a scenario, in order of their start.
@@ -72,6 +76,12 @@
         target: 0,
         kind: FaultKind::StoreRestored,
     }));
+    faults.extend((0..scenario.late_reports).map(|_| Fault {
+        at: rng.random_range(Duration::ZERO..scenario.fault_time),
+        duration: rng.random_range(FAULT_DURATION),
+        target: rng.random_range(0..64),
+        kind: FaultKind::LateReport,
+    }));
     faults
 }
 
@@ -209,6 +219,16 @@
                 tokio::time::sleep(Duration::from_millis(300)).await;
                 deployment.restore_store(&copy).await;
             }
+            FaultKind::LateReport if backend.is_running() => {
+                let report = backend.next_report();
+                tokio::time::sleep(self.duration).await;
+                report.publish(&deployment.store);
+                tokio::time::sleep(REPORT_INTERVAL).await;
+                if backend.is_running() {
+                    backend.publish(&deployment.store);
+                }
+            }
+            FaultKind::LateReport => {}
             FaultKind::NewVersion => deployment.publish(|_| {}),
             FaultKind::KeyWithdrawn => deployment.publish(|old_key_accepted| *old_key_accepted = false),
         }
--- a/crates/burdock-node/tests/soak/main.rs
+++ b/crates/burdock-node/tests/soak/main.rs
@@ -38,6 +38,16 @@
     expect_that!(outcome.served, ge(outcome.requests / 4));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run_with_late_reports_violates_no_guarantee() {
+    let outcome = run_scenario(&Scenario { seed: 3, late_reports: 4, ..Scenario::default() }).await;
+    let details =
+        format!("seed {}, logs in {}, {:#?}", outcome.seed, outcome.log_directory.display(), outcome.faults);
+    expect_that!(outcome.violations, is_empty(), "{details}");
+    expect_that!(outcome.served, ge(outcome.requests / 4));
+}
+
 // Guards against the return of faults that single seeds found. Each seed stands with its cause.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/burdock-node/tests/soak/scenario.rs
+++ b/crates/burdock-node/tests/soak/scenario.rs
@@ -10,7 +10,7 @@
 
 use crate::callers::Callers;
 use crate::checks;
-use crate::deployment::Deployment;
+use crate::deployment::{BACKENDS_PER_SERVICE, Deployment};
 use crate::faults;
 
 /// Maximum time from the end of faults until the guarantees for fault-free times apply: the operators' bound
@@ -23,6 +23,12 @@
 /// How long traffic is observed without faults, before and again after one more planned stop.
 const CALM_TIME: Duration = Duration::from_secs(3);
 
+/// Index of the backend server that drains at the end.
+const DRAINED_BACKEND: usize = 0;
+
+/// Index of the backend server that leaves at the end, of the other service.
+const LEAVING_BACKEND: usize = BACKENDS_PER_SERVICE;
+
 /// Settings of one run.
 #[derive(Clone, Copy, Debug)]
 pub struct Scenario {
@@ -36,11 +42,21 @@
     pub fault_time: Duration,
     /// How often the store comes back from an older copy meanwhile.
     pub restores: usize,
+    /// How many reports of backend servers the store executes late meanwhile. With any, a backend server also leaves at
+    /// the end, and its last report is late.
+    pub late_reports: usize,
 }
 
 impl Default for Scenario {
     fn default() -> Self {
-        Self { seed: 1, instances: 5, callers: 12, fault_time: Duration::from_secs(12), restores: 0 }
+        Self {
+            seed: 1,
+            instances: 5,
+            callers: 12,
+            fault_time: Duration::from_secs(12),
+            restores: 0,
+            late_reports: 0,
+        }
     }
 }
 
@@ -75,9 +91,13 @@
     let mut violations = wait_until_settled(&deployment).await;
     let calm_started_at = Instant::now();
     tokio::time::sleep(CALM_TIME).await;
-    deployment.drain_backend(0);
+    deployment.drain_backend(DRAINED_BACKEND);
     let drained_at = Instant::now();
+    let late_report = (scenario.late_reports > 0).then(|| deployment.remove_backend(LEAVING_BACKEND));
     let exit_code = deployment.stop_gracefully(0).await;
+    if let Some(report) = &late_report {
+        report.publish(&deployment.store);
+    }
     tokio::time::sleep(CALM_TIME).await;
     let calm_ended_at = Instant::now();
 
@@ -93,7 +113,10 @@
         calm_started_at,
         calm_ended_at,
     ));
-    violations.extend(checks::check_backend_drain(&deployment, drained_at));
+    violations.extend(checks::check_backend_drain(&deployment, DRAINED_BACKEND, drained_at));
+    if late_report.is_some() {
+        violations.extend(checks::check_backend_drain(&deployment, LEAVING_BACKEND, drained_at));
+    }
     let served = records.iter().filter(|r| r.is_served()).count();
     RunOutcome {
         seed: scenario.seed,
