Let the loop of status checks sleep until an entry comes back

Cause: each instance woke ten times a second and walked its table, also where no entry waits for a check. A report interval beyond what a duration holds would have ended the task that applies entries.

Change: the loop waits for a notification while nothing is unconfirmed; sums of times saturate.

--- a/crates/burdock-decide/src/departure.rs
+++ b/crates/burdock-decide/src/departure.rs
@@ -77,7 +77,8 @@
         if now.since(self.at) >= MAX_REPORT_DELAY {
             return ReturnVerdict::Alive;
         }
-        let until = self.at + MAX_REPORT_DELAY + report_interval * INTERVALS_TO_REMOVAL + REMOVAL_SLACK;
+        let silence = report_interval.saturating_mul(INTERVALS_TO_REMOVAL);
+        let until = self.at + MAX_REPORT_DELAY + silence + REMOVAL_SLACK;
         ReturnVerdict::Unconfirmed { until }
     }
 }
--- a/crates/burdock-node/src/site/returns.rs
+++ b/crates/burdock-node/src/site/returns.rs
@@ -114,12 +114,12 @@
     fn departure(&self, registered: &RegisteredBackend) -> Option<Departure> {
         const FIRST_REPORT: u64 = 1;
         let is_later_report = registered.sequence > FIRST_REPORT;
-        let unknown = self.loaded_at.filter(|_| is_later_report).map(|at| Departure {
+        let assumed = self.loaded_at.filter(|_| is_later_report).map(|at| Departure {
             started_ms: registered.started_ms,
             sequence: FIRST_REPORT,
             at,
         });
-        self.departures.get(&registered.id).copied().or(unknown)
+        self.departures.get(&registered.id).copied().or(assumed)
     }
 
     fn is_confirmed(&self, registered: &RegisteredBackend, revision: u64) -> bool {
--- a/crates/burdock-node/src/site/status_check.rs
+++ b/crates/burdock-node/src/site/status_check.rs
@@ -14,7 +14,7 @@
 use crate::site::SiteNode;
 use crate::site::backend::Backend;
 
-/// Interval at which a hub looks for entries that wait for a check.
+/// Interval at which a hub looks for checks that are due while any entry waits for one.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time limit of a check, a connection on the longest link included.
@@ -22,10 +22,12 @@
 
 /// Checks backend servers until the process ends, while this instance is the hub of its region.
 pub async fn check_loop(node: Arc<SiteNode>) {
-    let mut tick = tokio::time::interval(POLL_INTERVAL);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        tick.tick().await;
+        if node.backends.has_unconfirmed() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        } else {
+            node.backends.wait_for_return().await;
+        }
         if node.hub.hub_of(&node, &node.settings.region).is_some() {
             continue;
         }
--- a/crates/burdock-node/src/site/table.rs
+++ b/crates/burdock-node/src/site/table.rs
@@ -13,6 +13,7 @@
 use burdock_model::site_settings::SiteSettings;
 use burdock_wire::messages::{ConfirmedRun, HashedAmount, LeavingRun, StatedPace};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::site::backend::Backend;
 use crate::site::pace::LearnedPhases;
@@ -46,6 +47,8 @@
     state: Mutex<State>,
     usable: ArcSwap<UsableBackends>,
     phases: Arc<LearnedPhases>,
+    // Notified when an entry comes back after its removal.
+    returned: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -105,6 +108,7 @@
             state: Mutex::default(),
             usable: ArcSwap::default(),
             phases: Arc::default(),
+            returned: Notify::new(),
         }
     }
 
@@ -217,7 +221,7 @@
         let mut state = self.state.lock();
         let State { entries, evacuated, .. } = &mut *state;
         let is_used = |e: &Entry| !is_leaving(e) && !evacuated.contains(&e.backend.registered.zone);
-        let waiting = entries.values_mut().filter(|e| is_used(e));
+        let waiting = entries.values_mut().filter(|e| e.unconfirmed.is_some() && is_used(e));
         let due = waiting.filter_map(|e| {
             let revision = e.unconfirmed.as_mut()?.take_due_check(now)?;
             Some((Arc::clone(&e.backend), revision))
@@ -225,6 +229,17 @@
         due.collect()
     }
 
+    /// Returns whether a backend server waits for a status check.
+    #[must_use]
+    pub fn has_unconfirmed(&self) -> bool {
+        self.state.lock().entries.values().any(|e| e.unconfirmed.is_some())
+    }
+
+    /// Waits until an entry comes back after its removal, unless one has since the last call.
+    pub async fn wait_for_return(&self) {
+        self.returned.notified().await;
+    }
+
     /// Records that a status check found a run of a backend server alive, after its entry of `revision` had been
     /// written.
     pub fn record_confirmed(&self, run_hash: u64, revision: u64, now: Time) {
@@ -506,6 +521,7 @@
             ReturnVerdict::Unconfirmed { until } => {
                 log::info!(backend = registered.id.as_str(), revision = revision, sequence = registered.sequence;
                     "entry of a backend server came back; it waits for a status check");
+                self.returned.notify_one();
                 Some(Unconfirmed { revision, until, next_check_at: now })
             }
             ReturnVerdict::Alive => None,
