Execute the soak's last late report within the platform's bound

Cause: the report of the backend server that leaves was executed after the planned stop.

Change: it is executed 3 s after the removal, beside the stop. The check and its bound are unchanged.

--- a/crates/burdock-node/tests/soak/scenario.rs
+++ b/crates/burdock-node/tests/soak/scenario.rs
@@ -23,6 +23,9 @@
 /// How long traffic is observed without faults, before and again after one more planned stop.
 const CALM_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which the store executes the last report of the backend server that leaves.
+const LATE_REPORT_DELAY: Duration = Duration::from_secs(3);
+
 /// Index of the backend server that drains at the end.
 const DRAINED_BACKEND: usize = 0;
 
@@ -94,10 +97,13 @@
     deployment.drain_backend(DRAINED_BACKEND);
     let drained_at = Instant::now();
     let late_report = (scenario.late_reports > 0).then(|| deployment.remove_backend(LEAVING_BACKEND));
-    let exit_code = deployment.stop_gracefully(0).await;
-    if let Some(report) = &late_report {
-        report.publish(&deployment.store);
-    }
+    let execute_late = async {
+        tokio::time::sleep(LATE_REPORT_DELAY).await;
+        if let Some(report) = &late_report {
+            report.publish(&deployment.store);
+        }
+    };
+    let (exit_code, ()) = tokio::join!(deployment.stop_gracefully(0), execute_late);
     tokio::time::sleep(CALM_TIME).await;
     let calm_ended_at = Instant::now();
 
