--- a/crates/burdock-node/tests/site_late_reports.rs
+++ b/crates/burdock-node/tests/site_late_reports.rs
@@ -14,39 +14,12 @@
 use burdock_standin::site::remove_backend_entry;
 use burdock_standin::store::Fault as StoreFault;
 use googletest::prelude::*;
+use site_support::usable::{expect_usable, wait_for_usable};
 use site_support::{Site, ports};
 
 /// Time for which a late report must have no effect: the operators' shortest bound on a change, twice.
 const WATCH_TIME: Duration = Duration::from_secs(5);
 
-// Returns the ids of the backend servers of `quotes` that an instance may use.
-fn usable(site: &Site, ix: usize) -> Vec<String> {
-    let usable = site.instances[ix].node.backends.usable();
-    let quotes = usable.services.iter().find(|(name, _)| name.as_str() == "quotes");
-    let ids = quotes.into_iter().flat_map(|(_, backends)| backends).map(|b| b.registered.id.to_string());
-    let mut ids: Vec<String> = ids.collect();
-    ids.sort();
-    ids
-}
-
-async fn wait_for_usable(site: &Site, ids: &[&str]) {
-    for ix in 0..site.instances.len() {
-        site.wait_until(async || usable(site, ix) == ids).await;
-    }
-}
-
-// Checks for a time that the instances use some backend servers and no others.
-async fn expect_usable(site: &Site, ids: &[&str], time: Duration) {
-    let started_at = Instant::now();
-    while started_at.elapsed() < time {
-        for ix in 0..site.instances.len() {
-            let elapsed = started_at.elapsed();
-            expect_that!(usable(site, ix), eq(ids), "instance {ix} after {elapsed:?}");
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 // Guards against requests to a backend server that has left, because the store executes an earlier report late.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/burdock-node/tests/site_restore.rs
+++ b/crates/burdock-node/tests/site_restore.rs
@@ -11,6 +11,7 @@
 use googletest::prelude::*;
 use site_support::Site;
 use site_support::link::Link;
+use site_support::usable::{expect_usable, wait_for_usable};
 
 const KEY: (&str, &str) = ("x-burdockcroft-key", "key-of-farm");
 
@@ -27,34 +28,6 @@
     }
 }
 
-// Returns the ids of the backend servers of `quotes` that an instance may use.
-fn usable(site: &Site, ix: usize) -> Vec<String> {
-    let usable = site.instances[ix].node.backends.usable();
-    let quotes = usable.services.iter().find(|(name, _)| name.as_str() == "quotes");
-    let ids = quotes.into_iter().flat_map(|(_, backends)| backends).map(|b| b.registered.id.to_string());
-    let mut ids: Vec<String> = ids.collect();
-    ids.sort();
-    ids
-}
-
-async fn wait_for_usable(site: &Site, ids: &[&str]) {
-    for ix in 0..site.instances.len() {
-        site.wait_until(async || usable(site, ix) == ids).await;
-    }
-}
-
-// Checks for a time that the instances use some backend servers and no others.
-async fn expect_usable(site: &Site, ids: &[&str], time: Duration) {
-    let started_at = Instant::now();
-    while started_at.elapsed() < time {
-        for ix in 0..site.instances.len() {
-            let elapsed = started_at.elapsed();
-            expect_that!(usable(site, ix), eq(ids), "instance {ix} after {elapsed:?}");
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 fn publish_with_new_key(site: &Site, version: u64) {
     let mut config = SampleConfig::new(version);
     config.organisations = vec![organisation("farm", &["new-key-of-farm"], 1000.0, 1000.0)];
--- a/crates/burdock-node/tests/site_support/mod.rs
+++ b/crates/burdock-node/tests/site_support/mod.rs
@@ -7,6 +7,7 @@
 #[path = "../support/ports.rs"]
 pub mod ports;
 pub mod raw;
+pub mod usable;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
